Add the decision slices: keys, admission, routing, membership, leases, configuration, usage

Cause: a new project; the promises rest on these decisions, so they come first as state machines with no I/O, each with its tests.

Found while building, each red first and then green: - ShareAllocator counted a reduced share as given back at once, although the answer that reduces it may be lost; it now counts what the entry said it held until that lapses. - LeaseMachine kept a lost renewal open for ever when its only contender never saw it take effect; a read that is not out of date now settles it. - Membership never took back a member held for dead that came back with the same incarnation; it is now told what is thought of it, so that it can refute that.

Ruled out: a shared clock for leases (drift and pauses), shares without a reserved floor (no service when the allocator can't be reached).

--- /dev/null
+++ b/guavashore-api/src/main/kotlin/io/guavashore/api/Endpoint.kt
@@ -0,0 +1,36 @@
+/*
+ * Address of a process. Only IP numbers are accepted, since nothing resolves names at run time.
+ */
+package io.guavashore.api
+
+import kotlinx.serialization.Serializable
+
+/**
+ * IP number and port, written `127.0.0.1:8080`.
+ *
+ * @throws IllegalArgumentException if [port] is not in 0..65535
+ */
+@Serializable
+data class Endpoint(
+    val host: String,
+    val port: Int,
+) {
+    init {
+        require(port in 0..MAX_PORT) { "port $port is outside 0..$MAX_PORT" }
+    }
+
+    override fun toString() = "$host:$port"
+
+    companion object {
+        private const val MAX_PORT = 65_535
+        private val form = Regex("""(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+])\:(\d{1,5})""")
+
+        /** Parses `IP:PORT`, or returns null if [text] has another form. */
+        fun parseOrNull(text: String): Endpoint? {
+            val match = form.matchEntire(text) ?: return null
+            val port = match.groupValues[2].toInt()
+            if (port > MAX_PORT) return null
+            return Endpoint(host = match.groupValues[1], port = port)
+        }
+    }
+}
--- /dev/null
+++ b/guavashore-api/src/main/kotlin/io/guavashore/api/Rendezvous.kt
@@ -0,0 +1,28 @@
+/*
+ * Rendezvous hashing: every member that has the same list chooses the same owners, and a change of the list moves
+ * only what the changed member owned.
+ */
+package io.guavashore.api
+
+private const val FNV_OFFSET = -3750763034362895579L
+private const val FNV_PRIME = 1099511628211L
+private const val MIX_1 = -49064778989728563L
+private const val MIX_2 = -4265267296055464877L
+private const val MIX_SHIFT = 33
+
+/** Ranks [members] for [key], best first. */
+fun <M> rendezvousRank(
+    key: String,
+    members: Collection<M>,
+): List<M> = members.sortedByDescending { rendezvousScore(key, it.toString()) }
+
+private fun rendezvousScore(
+    key: String,
+    member: String,
+): Long {
+    var hash = FNV_OFFSET
+    "$key/$member".forEach { hash = (hash xor it.code.toLong()) * FNV_PRIME }
+    hash = (hash xor (hash ushr MIX_SHIFT)) * MIX_1
+    hash = (hash xor (hash ushr MIX_SHIFT)) * MIX_2
+    return hash xor (hash ushr MIX_SHIFT)
+}
--- /dev/null
+++ b/guavashore-keys/src/test/kotlin/io/guavashore/keys/KeyRingTest.kt
@@ -0,0 +1,90 @@
+package io.guavashore.keys
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.guavashore.api.Declaration
+import io.guavashore.api.KeyDeclaration
+import io.guavashore.api.KeyId
+import io.guavashore.api.OrganisationId
+import io.guavashore.api.RefusalKind
+import io.guavashore.api.TeamId
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+
+class KeyRingTest {
+    private val weavers = OrganisationId("weavers")
+    private val first = CallerKey.generate(KeyId("first"))
+    private val second = CallerKey.generate(KeyId("second"))
+
+    private fun ring(firstWithdrawn: Boolean = false) =
+        KeyRing(
+            Declaration(
+                team = TeamId("umhlanga"),
+                keys =
+                    listOf(
+                        KeyDeclaration(KeyId("first"), weavers, first.secretSha256, withdrawn = firstWithdrawn),
+                        KeyDeclaration(KeyId("second"), weavers, second.secretSha256),
+                    ),
+            ),
+        )
+
+    @Nested
+    inner class `a presented key` {
+        @Test
+        fun `is accepted for its organisation while in force`() {
+            assertEquals(weavers, ring().check(first.text).get()?.organisation)
+        }
+
+        @Test
+        fun `is refused in each bad form, and the refusal never repeats it`() {
+            val table =
+                mapOf(
+                    null to RefusalKind.KEY_MISSING,
+                    "" to RefusalKind.KEY_INVALID,
+                    "gk_first_" to RefusalKind.KEY_INVALID,
+                    "gk_first_wrong-secret" to RefusalKind.KEY_INVALID,
+                    first.text + "x" to RefusalKind.KEY_INVALID,
+                    first.text.replace("first", "second") to RefusalKind.KEY_INVALID,
+                    "gk_unknown_wrong-secret" to RefusalKind.KEY_INVALID,
+                    "x".repeat(10_000) to RefusalKind.KEY_INVALID,
+                )
+            table.forEach { (text, kind) ->
+                val refusal = ring().check(text).getError()
+                assertEquals(kind, refusal?.kind, "for $text")
+                assertEquals(true, refusal?.notRun)
+                assertFalse("wrong-secret" in refusal?.message.orEmpty())
+            }
+        }
+
+        @Test
+        fun `is refused once withdrawn while the organisation's other key works on`() {
+            assertEquals(RefusalKind.KEY_WITHDRAWN, ring(firstWithdrawn = true).check(first.text).getError()?.kind)
+            assertNull(ring(firstWithdrawn = true).check(second.text).getError())
+        }
+
+        @Test
+        fun `does not show its secret as text`() {
+            assertEquals("gk_first_***", CallerKey.parseOrNull(first.text).toString())
+        }
+    }
+
+    @Nested
+    inner class `work in progress` {
+        @Test
+        fun `ends exactly when its own key is withdrawn`() {
+            val sessions = KeySessions()
+            val ended = mutableListOf<String>()
+            sessions.open(KeyId("first")) { ended += "first" }
+            sessions.open(KeyId("second")) { ended += "second" }
+            sessions.open(KeyId("first")) { ended += "closed before" }.close()
+
+            assertEquals(0, sessions.endWithdrawn(ring()::isInForce))
+            assertEquals(1, sessions.endWithdrawn(ring(firstWithdrawn = true)::isInForce))
+            assertEquals(listOf("first"), ended)
+            assertEquals(1, sessions.size)
+        }
+    }
+}
--- /dev/null
+++ b/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseKeeper.kt
@@ -0,0 +1,103 @@
+/*
+ * Runs a [LeaseMachine] against the platform's store.
+ */
+package io.guavashore.leases
+
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.MonotonicClock
+import io.guavashore.platform.ObjectPath
+import io.guavashore.platform.ObjectStore
+import io.guavashore.platform.ObjectVersion
+import io.guavashore.platform.StoreError
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.serialization.json.Json
+
+private val log = KotlinLogging.logger {}
+
+/** Keeps one lease as long as [run] runs. */
+class LeaseKeeper(
+    private val path: ObjectPath,
+    private val machine: LeaseMachine,
+    private val store: ObjectStore,
+    private val clock: MonotonicClock,
+    private val pollMs: Long = 200,
+) {
+    private val mutex = Mutex()
+
+    @Volatile
+    private var current: HeldLease? = null
+
+    /** The lease if it is held at this moment. Ask again right before each effect. */
+    fun held(): HeldLease? = current?.takeIf { clock() < it.untilMs }
+
+    /** Contends for the lease and renews it, until cancelled. */
+    suspend fun run() {
+        while (true) {
+            step()
+            delay(pollMs)
+        }
+    }
+
+    /** Takes one step; returns the lease if it is held. */
+    suspend fun step(): HeldLease? =
+        mutex.withLock {
+            val before = current
+            when (val action = machine.next(clock())) {
+                LeaseAction.Wait -> Unit
+                LeaseAction.Read -> read()
+                is LeaseAction.Write -> write(action)
+            }
+            current = machine.heldAt(clock())
+            logChange(before, current)
+            current
+        }
+
+    /** Records [intent] in the store; returns the lease if it is held and holds the intent, else null. */
+    suspend fun recordIntent(intent: OrderIntent?): HeldLease? {
+        mutex.withLock { machine.setIntent(intent) }
+        repeat(RECORD_STEPS) {
+            step()
+            val recorded = mutex.withLock { machine.intentIsRecorded(clock()) }
+            if (recorded) return held()
+            delay(pollMs)
+        }
+        return null
+    }
+
+    private suspend fun read() {
+        store
+            .read(path)
+            .onSuccess { found ->
+                val record = found?.let { Json.decodeFromString<LeaseRecord>(it.value) }
+                machine.onRead(found?.version ?: ObjectVersion.ABSENT, record, clock())
+            }.onFailure { machine.onUnavailable(clock()) }
+    }
+
+    private suspend fun write(action: LeaseAction.Write) {
+        store
+            .write(path, Json.encodeToString(action.record), action.expected)
+            .onSuccess { machine.onWritten(it) }
+            .onFailure { error ->
+                when (error) {
+                    is StoreError.Conflict, is StoreError.Refused -> machine.onConflict()
+                    is StoreError.Unavailable -> machine.onUnavailable(clock())
+                }
+            }
+    }
+
+    private fun logChange(
+        before: HeldLease?,
+        after: HeldLease?,
+    ) {
+        if (before == null && after != null) log.info { "lease taken: $path, fencing number ${after.fencingNumber}" }
+        if (before != null && after == null) log.warn { "lease lost: $path" }
+    }
+
+    private companion object {
+        const val RECORD_STEPS = 10
+    }
+}
--- /dev/null
+++ b/guavashore-leases/src/test/kotlin/io/guavashore/leases/LeaseMachineTest.kt
@@ -0,0 +1,201 @@
+package io.guavashore.leases
+
+import io.guavashore.api.Incarnation
+import io.guavashore.api.VmId
+import io.guavashore.platform.ObjectVersion
+import org.junit.jupiter.api.Nested
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class LeaseMachineTest {
+    private fun holder(name: String) = LeaseHolder(VmId(name), Incarnation(1))
+
+    /** Store of one object with conditional update. */
+    private class OneObject {
+        var version = ObjectVersion.ABSENT
+        var record: LeaseRecord? = null
+
+        fun write(action: LeaseAction.Write): Boolean {
+            if (action.expected != version) return false
+            version = ObjectVersion(version.value + 1)
+            record = action.record
+            return true
+        }
+    }
+
+    private fun LeaseMachine.drive(
+        store: OneObject,
+        nowMs: Long,
+    ) {
+        repeat(3) {
+            when (val action = next(nowMs)) {
+                LeaseAction.Wait -> return
+                LeaseAction.Read -> onRead(store.version, store.record, nowMs)
+                is LeaseAction.Write -> if (store.write(action)) onWritten(store.version) else onConflict()
+            }
+        }
+    }
+
+    @Nested
+    inner class `a free lease` {
+        @Test
+        fun `is taken at once, with a fencing number, and renewed`() {
+            val store = OneObject()
+            val machine = LeaseMachine(holder("a"))
+            (0L..60_000L step 500).forEach { machine.drive(store, it) }
+            assertEquals(1, machine.heldAt(60_000)?.fencingNumber?.value)
+        }
+    }
+
+    @Nested
+    inner class `a silent holder` {
+        @Test
+        fun `is succeeded only after its term has ended by its own count`() {
+            val store = OneObject()
+            val first = LeaseMachine(holder("a")).apply { drive(store, 0) }
+            val second = LeaseMachine(holder("b"))
+            val takenAtMs =
+                (100L..60_000L step 100).first {
+                    second.drive(store, it)
+                    second.heldAt(it) != null
+                }
+            assertNull(first.heldAt(takenAtMs))
+            assertEquals(2, second.heldAt(takenAtMs)?.fencingNumber?.value)
+            assertTrue(takenAtMs <= 13_000, "taken at $takenAtMs")
+        }
+
+        @Test
+        fun `leaves its open intent to the successor`() {
+            val store = OneObject()
+            val intent = OrderIntent("order-1", IntentKind.START)
+            LeaseMachine(holder("a")).apply {
+                drive(store, 0)
+                setIntent(intent)
+                drive(store, 100)
+            }
+            val second = LeaseMachine(holder("b"))
+            (200L..20_000L step 100).forEach { second.drive(store, it) }
+            assertEquals(intent, second.heldAt(20_000)?.record?.intent)
+        }
+    }
+
+    @Nested
+    inner class `a write whose answer is lost` {
+        @Test
+        fun `is settled by reading back, and its term counts from the sending`() {
+            val store = OneObject()
+            val machine = LeaseMachine(holder("a"))
+            machine.onRead(store.version, null, nowMs = 0)
+            val write = assertIs<LeaseAction.Write>(machine.next(1_000))
+            store.write(write)
+            machine.onUnavailable(nowMs = 5_000)
+            assertNull(machine.heldAt(5_000))
+            assertIs<LeaseAction.Read>(machine.next(7_000))
+            machine.onRead(store.version, store.record, nowMs = 7_000)
+            assertEquals(9_000, assertNotNull(machine.heldAt(7_000)).untilMs)
+        }
+
+        @Test
+        fun `is not believed if the write never took effect`() {
+            val store = OneObject()
+            val machine = LeaseMachine(holder("a"))
+            machine.onRead(store.version, null, nowMs = 0)
+            machine.next(1_000)
+            machine.onUnavailable(nowMs = 2_000)
+            machine.onRead(store.version, null, nowMs = 4_000)
+            assertNull(machine.heldAt(4_000))
+        }
+    }
+
+    @Nested
+    inner class `a renewal that is lost on its way` {
+        @Test
+        fun `does not keep the only contender from holding again`() {
+            val store = OneObject()
+            val machine = LeaseMachine(holder("a")).apply { drive(store, 0) }
+            assertIs<LeaseAction.Write>(machine.next(3_500))
+            machine.onUnavailable(nowMs = 4_000)
+            (5_000L..60_000L step 500).forEach { machine.drive(store, it) }
+            assertNotNull(machine.heldAt(60_000))
+        }
+    }
+
+    /** Contenders with clocks of different origin, pauses, lost answers, stale reads and outages. */
+    @Test
+    fun `two contenders never both hold it, on random schedules`() {
+        repeat(3_000) { seed -> runSchedule(seed) }
+    }
+
+    private class Contender(
+        val machine: LeaseMachine,
+        val clockOffsetMs: Long,
+        var pausedUntilMs: Long = 0,
+        var heldByOwnClock: Boolean = false,
+    )
+
+    private fun runSchedule(seed: Int) {
+        val random = Random(seed)
+        val store = OneObject()
+        val old = ArrayDeque<Pair<ObjectVersion, LeaseRecord?>>()
+        val contenders = List(3) { Contender(LeaseMachine(holder("vm-$it")), random.nextLong(1_000_000)) }
+        var nowMs = 0L
+        var outageUntilMs = 0L
+        var holders = 0L
+        repeat(250) {
+            nowMs += random.nextLong(1, 900)
+            if (random.nextInt(50) == 0) outageUntilMs = nowMs + random.nextLong(30_000)
+            val contender = contenders.random(random)
+            if (random.nextInt(25) == 0) contender.pausedUntilMs = nowMs + random.nextLong(25_000)
+            if (nowMs >= contender.pausedUntilMs) {
+                actOnce(contender, store, old, nowMs, random, down = nowMs < outageUntilMs)
+            }
+            val holding = contenders.count { it.machine.heldAt(nowMs + it.clockOffsetMs) != null }
+            holders += holding
+            assertTrue(holding <= 1, "seed $seed: $holding holders at $nowMs")
+        }
+        assertTrue(holders > 0, "seed $seed: nobody ever held it")
+    }
+
+    private fun actOnce(
+        contender: Contender,
+        store: OneObject,
+        old: ArrayDeque<Pair<ObjectVersion, LeaseRecord?>>,
+        nowMs: Long,
+        random: Random,
+        down: Boolean,
+    ) {
+        val localMs = nowMs + contender.clockOffsetMs
+        val machine = contender.machine
+        val action = machine.next(localMs)
+        if (action == LeaseAction.Wait) return
+        val answerLost = down || random.nextInt(10) == 0
+        val hasEffect = !down || random.nextInt(4) == 0
+        if (action is LeaseAction.Write && hasEffect) {
+            old.addLast(store.version to store.record)
+            val written = store.write(action)
+            if (answerLost) {
+                machine.onUnavailable(localMs)
+            } else if (written) {
+                machine.onWritten(store.version)
+            } else {
+                machine.onConflict()
+            }
+            return
+        }
+        if (answerLost || action is LeaseAction.Write) return machine.onUnavailable(localMs)
+        val (version, record) =
+            if (old.isNotEmpty() &&
+                random.nextInt(6) == 0
+            ) {
+                old.random(random)
+            } else {
+                store.version to store.record
+            }
+        machine.onRead(version, record, localMs)
+    }
+}
--- /dev/null
+++ b/guavashore-routing/src/test/kotlin/io/guavashore/routing/TargetPickerTest.kt
@@ -0,0 +1,134 @@
+package io.guavashore.routing
+
+import io.guavashore.api.Endpoint
+import io.guavashore.api.PoolId
+import io.guavashore.api.Target
+import io.guavashore.api.TargetId
+import io.guavashore.api.TargetKind
+import io.guavashore.api.TargetStage
+import io.guavashore.api.TeamId
+import io.guavashore.api.ZoneId
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+
+class TargetPickerTest {
+    private val home = ZoneId("a")
+
+    private fun candidate(
+        id: String,
+        zone: String = "a",
+        outstanding: Int = 0,
+        limit: Int = 8,
+        stage: TargetStage = TargetStage.SERVING,
+        ejected: Boolean = false,
+        reserved: Boolean = false,
+        reportedLoad: Double = 0.0,
+    ) = Candidate(
+        target =
+            Target(
+                id = TargetId(id),
+                team = TeamId("t"),
+                pool = PoolId("p"),
+                kind = TargetKind.MODEL,
+                zone = ZoneId(zone),
+                endpoint = Endpoint("127.0.0.1", 1),
+                slots = limit,
+                stage = stage,
+            ),
+        outstanding = outstanding,
+        limit = limit,
+        ejected = ejected,
+        reserved = reserved,
+        reportedLoad = reportedLoad,
+    )
+
+    private fun pick(
+        vararg candidates: Candidate,
+        request: PickRequest = PickRequest(homeZone = home),
+    ) = pickTarget(candidates.toList(), request)?.target?.id?.value
+
+    @Nested
+    inner class `load` {
+        @Test
+        fun `own outstanding requests go before the reported load`() {
+            assertEquals(
+                "b",
+                pick(candidate("a", outstanding = 4), candidate("b", outstanding = 1, reportedLoad = 0.9)),
+            )
+        }
+
+        @Test
+        fun `reported load decides between equals`() {
+            assertEquals("b", pick(candidate("a", reportedLoad = 0.8), candidate("b", reportedLoad = 0.1)))
+        }
+    }
+
+    @Nested
+    inner class `zones` {
+        @Test
+        fun `the own zone is used while it has room, then the others`() {
+            assertEquals("near", pick(candidate("near", outstanding = 7), candidate("far", zone = "b")))
+            assertEquals("far", pick(candidate("near", outstanding = 8), candidate("far", zone = "b")))
+        }
+    }
+
+    @Nested
+    inner class `targets that may not be used` {
+        @Test
+        fun `are never picked`() {
+            val unusable =
+                listOf(
+                    candidate("x", stage = TargetStage.LEAVING),
+                    candidate("x", stage = TargetStage.STARTING),
+                    candidate("x", ejected = true),
+                    candidate("x", reserved = true),
+                    candidate("x", outstanding = 8),
+                    candidate("x", limit = 0),
+                )
+            unusable.forEach { assertNull(pick(it), "$it") }
+            assertNull(pick(candidate("x"), request = PickRequest(home, exclude = setOf(TargetId("x")))))
+            assertNull(pick(candidate("x", outstanding = 1), request = PickRequest(home, alone = true)))
+            assertNull(pick(candidate("x", outstanding = 7), request = PickRequest(home, keepFree = 1)))
+        }
+    }
+
+    @Nested
+    inner class `a shared prefix` {
+        private val names = listOf("a", "b", "c", "d")
+
+        @Test
+        fun `goes to the same target each time while loads are close`() {
+            val request = PickRequest(home, prefixKey = "group-7")
+            val first = pick(*names.map { candidate(it) }.toTypedArray(), request = request)
+            val second =
+                pick(
+                    *names
+                        .map {
+                            candidate(
+                                it,
+                                outstanding =
+                                    if (it ==
+                                        first
+                                    ) {
+                                        1
+                                    } else {
+                                        0
+                                    },
+                            )
+                        }.toTypedArray(),
+                    request = request,
+                )
+            assertEquals(first, second)
+        }
+
+        @Test
+        fun `goes elsewhere once its target is loaded past the bound`() {
+            val request = PickRequest(home, prefixKey = "group-7")
+            val first = pick(*names.map { candidate(it) }.toTypedArray(), request = request)
+            val loaded = names.map { candidate(it, outstanding = if (it == first) 5 else 0) }
+            assertEquals(names.first { it != first }, pick(*loaded.toTypedArray(), request = request))
+        }
+    }
+}
--- /dev/null
+++ b/guavashore-wire/src/main/kotlin/io/guavashore/wire/ControlMessage.kt
@@ -0,0 +1,84 @@
+/*
+ * Messages between guavashore's own processes. Each request has exactly one kind of reply.
+ */
+package io.guavashore.wire
+
+import io.guavashore.admission.Demand
+import io.guavashore.admission.ResourceId
+import io.guavashore.admission.Share
+import io.guavashore.api.Incarnation
+import io.guavashore.api.TargetId
+import io.guavashore.api.UsageCounter
+import io.guavashore.api.VmId
+import io.guavashore.membership.Fact
+import io.guavashore.membership.FactVersion
+import io.guavashore.routing.SuspectRecord
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** A message; the short serial names keep frames small. */
+@Serializable
+sealed interface ControlMessage {
+    /** An entry's state, sent to its steward every half second or so; answered by [EntryUpdate]. */
+    @Serializable
+    @SerialName("er")
+    data class EntryReport(
+        val vm: VmId,
+        val incarnation: Incarnation,
+        val knownFacts: List<FactVersion>,
+        val demands: Map<ResourceId, Demand> = emptyMap(),
+        val inFlight: Map<TargetId, Int> = emptyMap(),
+        val usage: List<UsageCounter> = emptyList(),
+        val suspects: List<SuspectRecord> = emptyList(),
+    ) : ControlMessage
+
+    /** Facts that the entry does not have yet, its shares and the entries that may claim shares. */
+    @Serializable
+    @SerialName("eu")
+    data class EntryUpdate(
+        val facts: List<Fact> = emptyList(),
+        val shares: Map<ResourceId, Share> = emptyMap(),
+        val entries: List<VmId> = emptyList(),
+        val isolated: Boolean = false,
+    ) : ControlMessage
+
+    /** Asks for facts; answered by [FactsReply]. */
+    @Serializable
+    @SerialName("ff")
+    data class FetchFacts(
+        val keys: List<String>,
+    ) : ControlMessage
+
+    @Serializable
+    @SerialName("fr")
+    data class FactsReply(
+        val facts: List<Fact>,
+    ) : ControlMessage
+
+    /** An entry's demand, forwarded to the steward that shares out the resources; answered by [ShareReply]. */
+    @Serializable
+    @SerialName("sr")
+    data class ShareRequest(
+        val vm: VmId,
+        val incarnation: Incarnation,
+        val demands: Map<ResourceId, Demand>,
+        val inFlight: Map<TargetId, Int>,
+        val tableVersions: List<FactVersion>,
+        val usage: List<UsageCounter>,
+    ) : ControlMessage
+
+    /** [refused] is true if the receiver does not hold the lease. */
+    @Serializable
+    @SerialName("sp")
+    data class ShareReply(
+        val shares: Map<ResourceId, Share>,
+        val refused: Boolean = false,
+    ) : ControlMessage
+
+    /** Answer to a message that has no place where it was sent. */
+    @Serializable
+    @SerialName("no")
+    data class Rejected(
+        val reason: String,
+    ) : ControlMessage
+}
