--- a/guavashore-admission/src/main/kotlin/io/guavashore/admission/ShareAllocator.kt
+++ b/guavashore-admission/src/main/kotlin/io/guavashore/admission/ShareAllocator.kt
@@ -2,14 +2,13 @@
  * Shares of a limited resource (a target's slots, an organisation's rate) for the entries that use it.
  *
  * Each share lapses by a deadline. An entry counts the deadline from before it sent its report, the allocator from
- * after it answered, so a share has always lapsed at its holder before the allocator hands it to another. A fixed
- * floor of each resource is never handed out: entries without a live share divide it by rendezvous hashing, so that
- * they serve on when the allocator can't be reached.
+ * after it answered, so a share has always lapsed at its holder before the allocator hands it to another. For an
+ * entry that does not report, the allocator sets aside the equal part that the entry falls back to, so that entries
+ * serve on when the allocator can't be reached.
  */
 package io.guavashore.admission
 
 import io.guavashore.api.VmId
-import io.guavashore.api.rendezvousRank
 import kotlinx.serialization.Serializable
 
 /** Name of a limited resource, such as `slots/engine-3`. */
@@ -21,7 +20,7 @@
     override fun toString() = value
 }
 
-/** What an entry wants of one resource, and what it uses right now. */
+/** What an entry wants of one resource, what it uses right now and what it is entitled to right now. */
 @Serializable
 data class Demand(
     val wanted: Long,
@@ -50,16 +49,15 @@
  */
 class ShareAllocator(
     private val startedAtMs: Long,
-    private val termMs: Long = 6_000,
-    private val marginMs: Long = 1_000,
+    private val terms: ShareTerms = ShareTerms(),
 ) {
-    /** The entry holds [granted] if the last answer reached it, else still [heldBefore] until that lapses. */
+    /** The entry holds [granted] if the last answer reached it, else still [heldBefore]; its next report tells which. */
     private class Claimant(
         var demand: Demand,
+        var reportedAtMs: Long,
         var granted: Long = 0,
         var grantedUntilMs: Long = 0,
         var heldBefore: Long = 0,
-        var heldBeforeUntilMs: Long = 0,
     )
 
     private val claimants = HashMap<ResourceId, HashMap<VmId, Claimant>>()
@@ -70,18 +68,25 @@
         demands: Map<ResourceId, Demand>,
         limits: ShareLimits,
         nowMs: Long,
-    ): Map<ResourceId, Share> =
-        demands
+    ): Map<ResourceId, Share> {
+        claimants.keys.retainAll(limits.totals.keys)
+        return demands
             .filterKeys { it in limits.totals }
-            .mapValues { (resource, demand) ->
-                Share(amount = share(entry, resource, demand, limits, nowMs), termMs = termMs)
-            }
+            .mapValues { (resource, demand) -> Share(share(entry, resource, demand, limits, nowMs), terms.termMs) }
+    }
 
-    /** What the entries together may use of [resource] at [nowMs], floors aside. */
-    fun committed(
+    /** Sum of what all entries wanted of [resource] and of what they used, by their latest reports. */
+    fun load(
         resource: ResourceId,
         nowMs: Long,
-    ): Long = claimants[resource].orEmpty().values.sumOf { it.usableAt(nowMs) }
+    ): Demand {
+        val live = claimants[resource].orEmpty().values.filter { !it.isSilentAt(nowMs) }
+        return Demand(
+            wanted = live.sumOf { it.demand.wanted },
+            inUse = live.sumOf { it.demand.inUse },
+            held = live.sumOf { it.granted },
+        )
+    }
 
     private fun share(
         entry: VmId,
@@ -91,60 +96,59 @@
         nowMs: Long,
     ): Long {
         val all = claimants.getOrPut(resource) { HashMap() }
-        val own = all.getOrPut(entry) { Claimant(demand) }
+        val own = all.getOrPut(entry) { Claimant(demand, nowMs) }
         own.demand = demand
+        own.reportedAtMs = nowMs
         val total = limits.totals.getValue(resource)
-        val shareable = total - floorTotal(total)
-        val committedToOthers = all.filterKeys { it != entry }.values.sumOf { it.usableAt(nowMs) }
-        val free = maxOf(0, shareable - committedToOthers)
-        val amount =
-            if (nowMs < startedAtMs + termMs + marginMs) {
-                minOf(demand.held, free)
-            } else {
-                minOf(fairShare(all, entry, shareable, nowMs), free)
-            }
+        val others = limits.entries.toSet() + all.keys - entry
+        val free = maxOf(0, total - others.sumOf { usable(all[it], it, resource, limits, nowMs) })
+        val isNew = nowMs < startedAtMs + terms.termMs + terms.marginMs
+        val amount = minOf(free, if (isNew) demand.held else fairShare(all, entry, resource, limits, nowMs))
         own.heldBefore = demand.held
-        own.heldBeforeUntilMs = maxOf(own.heldBeforeUntilMs, own.grantedUntilMs)
         own.granted = amount
-        own.grantedUntilMs = nowMs + termMs + marginMs
+        own.grantedUntilMs = nowMs + terms.termMs + terms.marginMs
         return amount
     }
 
+    /** Fair part of what is not set aside for silent entries; what nobody wants is divided evenly. */
     private fun fairShare(
         all: Map<VmId, Claimant>,
         entry: VmId,
-        shareable: Long,
+        resource: ResourceId,
+        limits: ShareLimits,
         nowMs: Long,
     ): Long {
-        val live = all.filter { (vm, claimant) -> vm == entry || claimant.grantedUntilMs > nowMs }
-        val claims = live.toSortedMap().mapValues { (_, claimant) -> Claim(claimant.demand.wanted) }
-        return waterFill(shareable, claims).getValue(entry)
+        val live = all.filterValues { !it.isSilentAt(nowMs) }
+        val total = limits.totals.getValue(resource)
+        val setAside = limits.entries.filter { it !in live }.sumOf { staticShare(it, resource, total, limits.entries) }
+        val shareable = maxOf(0, total - setAside)
+        val wanted =
+            waterFill(
+                shareable,
+                live.toSortedMap().mapValues { (_, claimant) ->
+                    Claim(claimant.demand.wanted)
+                },
+            )
+        val surplus = shareable - wanted.values.sum()
+        return wanted.getValue(entry) + staticShare(entry, resource, surplus, live.keys.sorted())
     }
 
-    private fun Claimant.usableAt(nowMs: Long): Long {
-        if (nowMs >= grantedUntilMs) return 0
-        val before = if (nowMs < heldBeforeUntilMs) heldBefore else 0
-        return maxOf(granted, before, demand.inUse)
+    private fun usable(
+        claimant: Claimant?,
+        entry: VmId,
+        resource: ResourceId,
+        limits: ShareLimits,
+        nowMs: Long,
+    ): Long {
+        val granted = claimant?.usableAt(nowMs) ?: 0
+        if (claimant != null && !claimant.isSilentAt(nowMs)) return granted
+        return maxOf(granted, staticShare(entry, resource, limits.totals.getValue(resource), limits.entries))
     }
 
-    companion object {
-        private const val FLOOR_DIVISOR = 4
+    private fun Claimant.isSilentAt(nowMs: Long) = nowMs - reportedAtMs > terms.silentAfterMs
 
-        /** Part of [total] that is never handed out but divided by [floorShare]. */
-        fun floorTotal(total: Long): Long = total / FLOOR_DIVISOR
-
-        /** What [entry] may use of [resource] in addition to its share, live or lapsed. */
-        fun floorShare(
-            entry: VmId,
-            resource: ResourceId,
-            total: Long,
-            entries: List<VmId>,
-        ): Long {
-            if (entries.isEmpty()) return 0
-            val floor = floorTotal(total)
-            val rank = rendezvousRank(resource.value, entries).indexOf(entry)
-            if (rank < 0) return 0
-            return floor / entries.size + if (rank < floor % entries.size) 1 else 0
-        }
+    private fun Claimant.usableAt(nowMs: Long): Long {
+        if (nowMs >= grantedUntilMs) return 0
+        return maxOf(granted, heldBefore, demand.inUse)
     }
 }
--- a/guavashore-admission/src/main/kotlin/io/guavashore/admission/WaterFill.kt
+++ b/guavashore-admission/src/main/kotlin/io/guavashore/admission/WaterFill.kt
@@ -4,12 +4,6 @@
  */
 package io.guavashore.admission
 
-/** What one claimant asks for. */
-data class Claim(
-    val demand: Long,
-    val weight: Int = 1,
-)
-
 /**
  * Divides [total] among [claims]. The sum of the result never exceeds [total] or any claim's demand; remainders of
  * the integer division go to the claimants in the order of the map.
--- a/guavashore-admission/src/test/kotlin/io/guavashore/admission/ShareAllocatorTest.kt
+++ b/guavashore-admission/src/test/kotlin/io/guavashore/admission/ShareAllocatorTest.kt
@@ -10,91 +10,108 @@
 class ShareAllocatorTest {
     private val slots = ResourceId("slots/engine-1")
     private val entries = (1..4).map { VmId("vm-$it") }
-    private val limits = ShareLimits(totals = mapOf(slots to 40L), entries = entries)
+    private val total = 40L
+    private val limits = ShareLimits(totals = mapOf(slots to total), entries = entries)
 
-    private fun ShareAllocator.ask(
-        vm: VmId,
-        wanted: Long,
-        nowMs: Long,
-        inUse: Long = 0,
-        held: Long = 0,
-    ) = report(vm, mapOf(slots to Demand(wanted, inUse, held)), limits, nowMs).getValue(slots).amount
+    /** Entries that report to an allocator and use what they are entitled to. */
+    private inner class Entries(
+        val allocator: ShareAllocator = ShareAllocator(startedAtMs = 0),
+    ) {
+        val held = entries.associateWith { HeldShares(it) }
+        val wanted = entries.associateWith { 0L }.toMutableMap()
+        var nowMs = 20_000L
 
-    @Nested
-    inner class `a settled allocator` {
-        private val allocator = ShareAllocator(startedAtMs = 0)
+        fun entitlement(vm: VmId) = held.getValue(vm).entitlement(slots, total, entries, nowMs)
 
-        @Test
-        fun `gives one busy entry all that is not floor`() {
-            assertEquals(30, allocator.ask(entries[0], wanted = 100, nowMs = 10_000))
+        fun report(
+            vm: VmId,
+            to: ShareAllocator = allocator,
+            answerLost: Boolean = false,
+            inUse: Long = 0,
+        ) {
+            val demand = Demand(wanted.getValue(vm), inUse = inUse, held = entitlement(vm))
+            val shares = to.report(vm, mapOf(slots to demand), limits, nowMs)
+            if (!answerLost) held.getValue(vm).accept(shares, sentAtMs = nowMs)
         }
 
-        @Test
-        fun `moves shares to a second busy entry only as the first gives them up`() {
-            allocator.ask(entries[0], wanted = 100, nowMs = 10_000)
-            assertEquals(0, allocator.ask(entries[1], wanted = 100, nowMs = 10_100))
-            assertEquals(15, allocator.ask(entries[0], wanted = 100, nowMs = 11_000, inUse = 30, held = 30))
-            assertEquals(0, allocator.ask(entries[1], wanted = 100, nowMs = 11_100), "the first still uses 30")
-            allocator.ask(entries[0], wanted = 100, nowMs = 12_000, inUse = 15, held = 15)
-            assertEquals(15, allocator.ask(entries[1], wanted = 100, nowMs = 12_100))
+        fun rounds(
+            count: Int,
+            reporting: List<VmId> = entries,
+        ) = repeat(count) {
+            nowMs += 500
+            reporting.forEach { report(it) }
         }
 
-        @Test
-        fun `hands on the share of a silent entry only after its term and margin`() {
-            allocator.ask(entries[0], wanted = 100, nowMs = 10_000)
-            assertEquals(0, allocator.ask(entries[1], wanted = 100, nowMs = 16_999))
-            assertEquals(30, allocator.ask(entries[1], wanted = 100, nowMs = 17_000))
-        }
+        fun sum() = entries.sumOf(::entitlement)
     }
 
     @Nested
-    inner class `a new allocator` {
+    inner class `a busy entry` {
         @Test
-        fun `renews only what is held until its predecessor's shares have lapsed`() {
-            val allocator = ShareAllocator(startedAtMs = 0)
-            assertEquals(12, allocator.ask(entries[0], wanted = 100, nowMs = 100, held = 12))
-            assertEquals(0, allocator.ask(entries[1], wanted = 100, nowMs = 6_999))
-            assertEquals(15, allocator.ask(entries[1], wanted = 100, nowMs = 7_000))
+        fun `gets what the idle ones do not want, within a few reports`() {
+            val all = Entries()
+            all.rounds(2)
+            all.wanted[entries[0]] = 100
+            all.rounds(4)
+            assertEquals(listOf(40L, 0L, 0L, 0L), entries.map(all::entitlement))
+        }
+
+        @Test
+        fun `gives way to a second one, and neither passes the total meanwhile`() {
+            val all = Entries()
+            all.wanted[entries[0]] = 100
+            all.rounds(4)
+            all.wanted[entries[1]] = 100
+            repeat(6) {
+                all.rounds(1)
+                assertTrue(all.sum() <= total)
+            }
+            assertEquals(listOf(20L, 20L, 0L, 0L), entries.map(all::entitlement))
         }
     }
 
     @Nested
-    inner class `the floor` {
+    inner class `an entry that is cut off` {
         @Test
-        fun `is divided wholly and only among listed entries`() {
-            val floors = entries.map { ShareAllocator.floorShare(it, slots, total = 40, entries = entries) }
-            assertEquals(10, floors.sum())
-            assertEquals(0, ShareAllocator.floorShare(VmId("other"), slots, total = 40, entries = entries))
+        fun `falls back to its equal part, which is set aside for it by then`() {
+            val all = Entries()
+            all.wanted[entries[0]] = 100
+            all.rounds(4)
+            repeat(30) {
+                all.rounds(1, reporting = entries.take(3))
+                assertTrue(all.sum() <= total, "sum ${all.sum()} at ${all.nowMs}")
+            }
+            assertEquals(listOf(30L, 0L, 0L, 10L), entries.map(all::entitlement))
         }
     }
 
-    /** Entries, each with its own view of its term, some cut off, and allocators that succeed one another. */
     @Test
-    fun `the sum of usable shares and floors never passes the total on random schedules`() {
-        repeat(300) { seed -> runSchedule(seed) }
+    fun `without any allocator the entries divide all of it evenly`() {
+        assertEquals(listOf(10L, 10L, 10L, 10L), entries.map(Entries()::entitlement))
+    }
+
+    /** Entries that are cut off, answers that are lost, and allocators that succeed one another. */
+    @Test
+    fun `what the entries are entitled to never passes the total on random schedules`() {
+        repeat(500) { seed -> runSchedule(seed) }
     }
 
     private fun runSchedule(seed: Int) {
         val random = Random(seed)
-        var nowMs = 100_000L
+        val all = Entries()
         var allocator = ShareAllocator(startedAtMs = 0)
-        val held = HashMap<VmId, Pair<Long, Long>>()
-        val inUse = HashMap<VmId, Long>()
-        repeat(200) {
-            nowMs += random.nextLong(1, 900)
+        val cutUntilMs = HashMap<VmId, Long>()
+        repeat(400) {
+            all.nowMs += random.nextLong(1, 200)
             val vm = entries.random(random)
-            if (random.nextInt(60) == 0) allocator = ShareAllocator(startedAtMs = nowMs)
-            val current = held[vm]?.takeIf { it.second > nowMs }?.first ?: 0
-            if (random.nextInt(5) != 0) {
-                val demand = Demand(wanted = random.nextLong(0, 60), inUse = inUse[vm] ?: 0, held = current)
-                val share = allocator.report(vm, mapOf(slots to demand), limits, nowMs).getValue(slots)
-                val answerLost = random.nextInt(8) == 0
-                if (!answerLost) held[vm] = share.amount to nowMs + share.termMs
+            if (random.nextInt(150) == 0) allocator = ShareAllocator(startedAtMs = all.nowMs)
+            if (random.nextInt(40) == 0) cutUntilMs[vm] = all.nowMs + random.nextLong(30_000)
+            if (random.nextInt(10) == 0) all.wanted[vm] = random.nextLong(0, 60)
+            if (all.nowMs >= (cutUntilMs[vm] ?: 0)) {
+                val inUse = random.nextLong(0, all.entitlement(vm) + 1)
+                all.report(vm, to = allocator, answerLost = random.nextInt(8) == 0, inUse = inUse)
             }
-            val usable = held[vm]?.takeIf { it.second > nowMs }?.first ?: 0
-            inUse[vm] = random.nextLong(0, usable + 1)
-            val sum = entries.sumOf { e -> held[e]?.takeIf { it.second > nowMs }?.first ?: 0 }
-            assertTrue(sum + ShareAllocator.floorTotal(40) <= 40, "seed $seed: shares of $sum at $nowMs")
+            assertTrue(all.sum() <= total, "seed $seed: ${entries.map(all::entitlement)} at ${all.nowMs}")
         }
     }
 }
--- a/guavashore-api/src/main/kotlin/io/guavashore/api/Declaration.kt
+++ b/guavashore-api/src/main/kotlin/io/guavashore/api/Declaration.kt
@@ -80,7 +80,7 @@
     val id: PoolId,
     val kind: TargetKind,
     val slotsPerTarget: Int = 8,
-    val reservedPublicSlots: Int = 1,
+    val reservedPublicSlots: Int = 0,
     val zones: List<PoolZoneDeclaration> = emptyList(),
 )
 
@@ -93,12 +93,13 @@
     val preferCheap: Boolean = true,
 )
 
-/** Trainer that may put steps, and how old its samples may be. */
+/** Trainer that may put steps, who scores its samples and how old they may be. */
 @Serializable
 data class TrainerDeclaration(
     val id: TrainerId,
     val organisation: OrganisationId,
     val service: ServiceId,
+    val scorer: ServiceId? = null,
     val maxStalenessVersions: Long = 2,
     val maxSamplesPerStep: Int = 4_096,
 )
--- /dev/null
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/CallRunnerTest.kt
@@ -0,0 +1,196 @@
+package io.guavashore.calls
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.guavashore.admission.WorkClass
+import io.guavashore.api.AttemptId
+import io.guavashore.api.Endpoint
+import io.guavashore.api.GenerateRequest
+import io.guavashore.api.OrganisationId
+import io.guavashore.api.PoolId
+import io.guavashore.api.RefusalKind
+import io.guavashore.api.Target
+import io.guavashore.api.TargetId
+import io.guavashore.api.TargetKind
+import io.guavashore.api.TargetStage
+import io.guavashore.api.TeamId
+import io.guavashore.api.TokenSpan
+import io.guavashore.api.WeightVersion
+import io.guavashore.api.ZoneId
+import io.guavashore.routing.RequestFingerprint
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class CallRunnerTest {
+    private val zone = ZoneId("a")
+    private val org = OrganisationId("o")
+    private val crashed = mutableSetOf<TargetId>()
+    private val runs = mutableListOf<TargetId>()
+
+    private fun target(
+        id: String,
+        slots: Int = 4,
+    ) = Target(
+        TargetId(id),
+        TeamId("t"),
+        PoolId("p"),
+        TargetKind.PLAIN,
+        zone,
+        Endpoint("127.0.0.1", 1),
+        slots,
+        TargetStage.SERVING,
+    )
+
+    private fun TestScope.dispatcher(vararg targets: Target) =
+        SlotDispatcher(zone, clock = { currentTime }).apply { update(targets.map { TargetShare(it, it.slots) }) }
+
+    private fun TestScope.runner(
+        dispatcher: SlotDispatcher,
+        guard: SuspectGuard = SuspectGuard(clock = { currentTime }),
+    ) = CallRunner(dispatcher, guard, isUp = { it.id !in crashed })
+
+    private fun plan(
+        idempotent: Boolean = true,
+        deadlineMs: Long = 10_000,
+        body: String = "body",
+        cost: Long = 1,
+    ) = CallPlan(
+        SlotRequest(org, WorkClass.PUBLIC, cost, deadlineMs),
+        RequestFingerprint.of(org, body.toByteArray()),
+        idempotent,
+    )
+
+    private fun failing(breakPoint: BreakPoint): RunAttempt<String> =
+        { target ->
+            runs += target.id
+            throw TargetFailure(breakPoint, "test")
+        }
+
+    @Nested
+    inner class `a failing target` {
+        @Test
+        fun `is left for another one by an idempotent call`() =
+            runTest {
+                val runner = runner(dispatcher(target("bad"), target("good")))
+                val answer =
+                    runner.run(plan()) { target ->
+                        runs += target.id
+                        if (target.id == TargetId("bad")) throw TargetFailure(BreakPoint.SENT, "test")
+                        "answer"
+                    }
+                assertEquals("answer", answer.get())
+            }
+
+        @Test
+        fun `runs a non-idempotent call once, and the caller is told the truth`() =
+            runTest {
+                val runner = runner(dispatcher(target("a"), target("b")))
+                val refusal = runner.run(plan(idempotent = false), attempt = failing(BreakPoint.SENT)).getError()
+                assertEquals(RefusalKind.OUTCOME_UNKNOWN to false, refusal?.kind to refusal?.notRun)
+                assertEquals(1, runs.size)
+            }
+    }
+
+    @Nested
+    inner class `a poison request` {
+        @Test
+        fun `costs two targets at most however often it is sent, and an innocent neighbour is answered`() =
+            runTest {
+                val dispatcher = dispatcher(*(1..6).map { target("t$it") }.toTypedArray())
+                val guard = SuspectGuard(clock = { currentTime })
+                val runner = runner(dispatcher, guard)
+                repeat(5) {
+                    runner.run(plan(body = "poison")) { target ->
+                        crashed += target.id
+                        throw TargetFailure(BreakPoint.ANSWERING, "crash")
+                    }
+                }
+                assertEquals(2, crashed.size)
+                assertEquals(RefusalKind.POISON, runner.run(plan(body = "poison")) { "never" }.getError()?.kind)
+                val neighbour = RequestFingerprint.of(org, "neighbour".toByteArray())
+                guard.crashed(TargetId("t1"), neighbour)
+                assertEquals("fine", runner.run(plan(body = "neighbour")) { "fine" }.get())
+            }
+    }
+
+    @Nested
+    inner class `slots` {
+        @Test
+        fun `are never taken beyond the limit and come back when a caller leaves`() =
+            runTest {
+                val dispatcher = dispatcher(target("a", slots = 2))
+                val runner = runner(dispatcher)
+                val calls = List(3) { launch { runner.run(plan()) { awaitCancellation() } } }
+                runCurrent()
+                assertEquals(mapOf(TargetId("a") to 2), dispatcher.inFlight())
+                assertEquals(1, dispatcher.waiting())
+                calls.forEach { it.cancel() }
+                runCurrent()
+                assertEquals(emptyMap(), dispatcher.inFlight())
+                assertEquals(0, dispatcher.waiting())
+            }
+
+        @Test
+        fun `that never come free end in a refusal at the deadline that is true`() =
+            runTest {
+                val dispatcher = dispatcher(target("a", slots = 1))
+                val runner = runner(dispatcher)
+                val holder = launch { runner.run(plan()) { awaitCancellation() } }
+                runCurrent()
+                val refusal = async { runner.run(plan(deadlineMs = currentTime + 500)) { "never" }.getError() }.await()
+                assertEquals(RefusalKind.NO_CAPACITY to true, refusal?.kind to refusal?.notRun)
+                assertTrue((refusal?.retryAfterMs ?: 0) > 0)
+                holder.cancel()
+            }
+
+        @Test
+        fun `of no target at all are refused at once`() =
+            runTest {
+                val refusal = runner(dispatcher()).run(plan()) { "never" }.getError()
+                assertEquals(RefusalKind.NO_CAPACITY, refusal?.kind)
+                assertEquals(0, currentTime)
+            }
+    }
+
+    @Nested
+    inner class `a generation whose target dies` {
+        @Test
+        fun `goes on elsewhere after the tokens it has, with a span for each version`() =
+            runTest {
+                var attempts = 0
+                val runner =
+                    GenerationRunner(
+                        runner(dispatcher(target("a"), target("b"))),
+                        engine = { call ->
+                            flow {
+                                attempts++
+                                emit(
+                                    TokenChunk(
+                                        call.produced.size,
+                                        listOf(call.produced.size),
+                                        WeightVersion(attempts.toLong()),
+                                    ),
+                                )
+                                if (attempts == 1) throw TargetFailure(BreakPoint.ANSWERING, "died")
+                            }
+                        },
+                        newAttemptId = { AttemptId("x") },
+                    )
+                val generation = runner.run(plan(), GenerateRequest(listOf(1), maxTokens = 2)).get()
+                assertEquals(listOf(0, 1), generation?.tokens)
+                assertEquals(listOf(TokenSpan(WeightVersion(1), 1), TokenSpan(WeightVersion(2), 1)), generation?.spans)
+            }
+    }
+}
--- /dev/null
+++ b/guavashore-targets/src/test/kotlin/io/guavashore/targets/OrderSenderTest.kt
@@ -0,0 +1,163 @@
+package io.guavashore.targets
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.guavashore.api.Endpoint
+import io.guavashore.api.Incarnation
+import io.guavashore.api.TargetId
+import io.guavashore.api.TargetKind
+import io.guavashore.api.VmId
+import io.guavashore.api.ZoneId
+import io.guavashore.leases.IntentKind
+import io.guavashore.leases.LeaseHolder
+import io.guavashore.leases.LeaseKeeper
+import io.guavashore.leases.LeaseMachine
+import io.guavashore.leases.OrderIntent
+import io.guavashore.platform.ObjectPath
+import io.guavashore.platform.PlatformError
+import io.guavashore.platform.PlatformStage
+import io.guavashore.platform.PlatformTarget
+import io.guavashore.platform.StartOrder
+import io.guavashore.platform.TargetOrders
+import io.guavashore.testing.InMemoryStore
+import io.guavashore.testing.StoreFault
+import io.guavashore.testing.VirtualClock
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+
+class OrderSenderTest {
+    private val clock = VirtualClock()
+    private val memory = InMemoryStore()
+    private val zone = ZoneId("a")
+    private val started = mutableListOf<PlatformTarget>()
+    private val sent = mutableListOf<StartOrder>()
+    private var answer: suspend (PlatformTarget) -> Result<PlatformTarget, PlatformError> = { Ok(it) }
+
+    private val orders =
+        TargetOrders(
+            list = { Ok(started.toList()) },
+            start = { _, order ->
+                sent += order
+                val target =
+                    PlatformTarget(
+                        id = TargetId("t-${order.orderId}"),
+                        team = order.team,
+                        pool = order.pool,
+                        kind = order.kind,
+                        zone = zone,
+                        endpoint = Endpoint("127.0.0.1", 1),
+                        cheap = order.cheap,
+                        stage = PlatformStage.RUNNING,
+                        orderId = order.orderId,
+                    )
+                started += target
+                answer(target)
+            },
+            stop = { _, _ -> Ok(Unit) },
+        )
+
+    private fun keeper(name: String) =
+        LeaseKeeper(
+            path = ObjectPath("leases/a"),
+            machine = LeaseMachine(LeaseHolder(VmId(name), Incarnation(1))),
+            store = memory.asStore,
+            clock = clock,
+            pollMs = 1,
+        )
+
+    private fun sender(keeper: LeaseKeeper) =
+        OrderSender(zone, OrderLease(keeper::held, keeper::recordIntent), orders, clock, kindOf = {
+            _,
+            _,
+            ->
+            TargetKind.MODEL
+        })
+
+    private suspend fun LeaseKeeper.take() {
+        repeat(20) {
+            step()
+            clock.advanceMs(1_000)
+        }
+        step()
+    }
+
+    private fun intent(id: String) = OrderIntent(id, IntentKind.START, pool = "p", team = "t")
+
+    @Test
+    fun `an order is sent once, under the lease's fencing number, and its intent cleared`() =
+        runTest {
+            val keeper = keeper("vm-1").apply { take() }
+            assertEquals(OrderOutcome.Done, sender(keeper).send(intent("o1")))
+            assertEquals(listOf(1L), sent.map { it.fencingNumber.value })
+            assertNull(keeper.held()?.record?.intent)
+        }
+
+    @Nested
+    inner class `without a lease that lasts` {
+        @Test
+        fun `nothing is sent during an outage of the store`() =
+            runTest {
+                val keeper = keeper("vm-1").apply { take() }
+                memory.fault = StoreFault.DOWN
+                assertIs<OrderOutcome.NotDone>(sender(keeper).send(intent("o1")))
+                assertEquals(emptyList(), sent)
+            }
+
+        @Test
+        fun `nothing is sent by a holder that was paused past its term`() =
+            runTest {
+                val keeper = keeper("vm-1").apply { take() }
+                val successor = keeper("vm-2")
+                clock.advanceMs(30_000)
+                successor.take()
+                assertIs<OrderOutcome.NotDone>(sender(keeper).send(intent("o1")))
+                assertEquals(emptyList(), sent)
+                assertNull(keeper.held())
+            }
+    }
+
+    @Nested
+    inner class `a lost answer` {
+        @Test
+        fun `is settled by reading back, not by repeating`() =
+            runTest {
+                answer = { Err(PlatformError.Unavailable("lost")) }
+                val keeper = keeper("vm-1").apply { take() }
+                assertEquals(OrderOutcome.Unknown, sender(keeper).send(intent("o1")))
+                assertEquals(1, sent.size)
+                assertNull(keeper.held()?.record?.intent)
+            }
+
+        @Test
+        fun `whose sender then dies is settled by its successor`() =
+            runTest {
+                answer = {
+                    memory.fault = StoreFault.DOWN
+                    delay(5_000)
+                    Ok(it)
+                }
+                val first = keeper("vm-1").apply { take() }
+                sender(first).send(intent("o1"))
+                memory.fault = StoreFault.NONE
+                clock.advanceMs(30_000)
+                val second = keeper("vm-2").apply { take() }
+                assertEquals(
+                    "o1",
+                    second
+                        .held()
+                        ?.record
+                        ?.intent
+                        ?.orderId,
+                )
+                sender(second).settle()
+                assertNull(second.held()?.record?.intent)
+                assertEquals(1, sent.size)
+            }
+    }
+}
