Whole path as separate processes: entry, steward, command line, stand-ins and demo

Cause: the slices had no processes around them.

Ruled out: one process for entry and steward (a flood of calls would cost leases and the control budget could not be read off one process).

--- /dev/null
+++ b/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/FileCommands.kt
@@ -0,0 +1,56 @@
+/*
+ * Commands that need no store: validate, schema, key new.
+ */
+package io.guavashore.ctl
+
+import com.github.michaelbull.result.getError
+import io.guavashore.api.KeyId
+import io.guavashore.keys.CallerKey
+import io.guavashore.settings.declarationSection
+import io.guavashore.settings.describe
+import io.guavashore.settings.nodeSection
+import io.guavashore.settings.readDeclaration
+import kotlinx.cli.ArgType
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.serialization.Serializable
+
+@Serializable
+private data class FaultLine(
+    val path: String,
+    val line: Int?,
+    val message: String,
+)
+
+/** `guavashorectl validate FILE`. */
+internal class ValidateCommand : Subcommand("validate", "Check a declaration and list all its faults") {
+    private val path by argument(ArgType.String, "file", "Declaration (TOML)")
+    private val json by option(ArgType.Boolean, "json", description = "Print JSON").default(false)
+
+    override fun execute() {
+        val faults = readDeclaration(readFileOrFail(path)).getError().orEmpty()
+        if (json) println(prettyJson.encodeToString(faults.map { FaultLine(it.path, it.line, it.message) }))
+        if (faults.isNotEmpty()) failWith(path, faults)
+        if (!json) println("$path: no faults")
+    }
+}
+
+/** `guavashorectl schema`. */
+internal class SchemaCommand : Subcommand("schema", "Print every key of declarations and VM settings with its doc") {
+    override fun execute() {
+        println("# Declaration of a team\n\n${describe(declarationSection)}")
+        println("# Settings of a VM\n\n${describe(nodeSection)}")
+    }
+}
+
+/** `guavashorectl key-new ID`. */
+internal class KeyNewCommand : Subcommand("key-new", "Make a new key; prints it once, with the hash to declare") {
+    private val id by argument(ArgType.String, "id", "Id of the key, a-z, 0-9 and '-'")
+
+    override fun execute() {
+        val key = CallerKey.generate(KeyId(id))
+        if (CallerKey.parseOrNull(key.text) == null) fail(ExitCode.INVALID, "key ids are 1 to 64 of a-z, 0-9 and '-'")
+        println("key:           ${key.text}")
+        println("secret_sha256: ${key.secretSha256}")
+    }
+}
--- /dev/null
+++ b/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/ReadCommands.kt
@@ -0,0 +1,71 @@
+/*
+ * Commands that show what is in the store and on the nodes.
+ */
+package io.guavashore.ctl
+
+import com.github.michaelbull.result.getOrElse
+import io.guavashore.api.TeamId
+import io.guavashore.settings.readDeclaration
+import io.guavashore.usage.SealedWindow
+import io.guavashore.usage.sealedPrefix
+import kotlinx.cli.ArgType
+import java.time.Instant
+
+/** `guavashorectl diff FILE`. */
+internal class DiffCommand : StoreCommand("diff", "Show what applying a declaration would change") {
+    private val path by argument(ArgType.String, "file", "Declaration (TOML)")
+
+    override suspend fun run() {
+        val declaration = readDeclaration(readFileOrFail(path)).getOrElse { failWith(path, it) }
+        val current = configuration.newest(declaration.team).orFail()
+        val changes = diff(current?.declaration, carryOver(current?.declaration, declaration))
+        val human = if (changes.isEmpty()) "no changes to revision ${current?.revision}" else render(changes)
+        print(human) { prettyJson.encodeToString(changes.mapValues { (_, change) -> listOf(change.first, change.second) }) }
+    }
+}
+
+/** `guavashorectl show TEAM`. */
+internal class ShowCommand : StoreCommand("show", "Print a team's newest declaration as JSON") {
+    private val team by argument(ArgType.String, "team", "Team")
+
+    override suspend fun run() {
+        val snapshot = configuration.newest(TeamId(team)).orFail() ?: fail(ExitCode.INVALID, "team $team has no declaration")
+        println(prettyJson.encodeToString(snapshot))
+    }
+}
+
+/** `guavashorectl history TEAM`. */
+internal class HistoryCommand : StoreCommand("history", "List a team's accepted changes, newest first") {
+    private val team by argument(ArgType.String, "team", "Team")
+
+    override suspend fun run() {
+        val head = configuration.head(TeamId(team)).getOrElse { fail(ExitCode.STORE, it.message) }.head
+        val history = head?.history.orEmpty()
+        val human =
+            history.joinToString("\n") {
+                "${it.revision}\t${Instant.ofEpochMilli(it.acceptedAtMs)}\t${it.author}\t${it.changeId}\t${it.message}"
+            }
+        print(human) { prettyJson.encodeToString(history) }
+    }
+}
+
+/** `guavashorectl usage TEAM`. */
+internal class UsageCommand : StoreCommand("usage", "List a team's sealed usage windows") {
+    private val team by argument(ArgType.String, "team", "Team")
+
+    override suspend fun run() {
+        val stored = platform.store.list(sealedPrefix(TeamId(team))).getOrElse { fail(ExitCode.STORE, it.message) }
+        val windows =
+            stored.map { prettyJson.decodeFromString<SealedWindow>(it.value) }.sortedBy { it.report.windowStartMs }
+        val human =
+            windows.joinToString("\n") { window ->
+                val lines =
+                    window.report.lines.joinToString("; ") {
+                        "${it.organisation}: ${it.amount.requests} requests, ${it.amount.tokens} tokens, ${it.amount.samples} samples" +
+                            if (it.adjustment.isZero()) "" else " (adjusted by ${it.adjustment})"
+                    }
+                "${Instant.ofEpochMilli(window.report.windowStartMs)}\t${if (window.sent) "sent" else "sealed"}\t$lines"
+            }
+        print(human) { prettyJson.encodeToString(windows) }
+    }
+}
--- /dev/null
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
@@ -0,0 +1,211 @@
+/*
+ * The data path's process: wires the slices together and runs them until it is told to stop.
+ */
+package io.guavashore.entry
+
+import arrow.fx.coroutines.resourceScope
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.AttemptId
+import io.guavashore.api.CounterSource
+import io.guavashore.api.Incarnation
+import io.guavashore.api.MonotonicClock
+import io.guavashore.api.WallClock
+import io.guavashore.api.systemMonotonicClock
+import io.guavashore.api.systemWallClock
+import io.guavashore.calls.HttpEngineClient
+import io.guavashore.calls.HttpPlainClient
+import io.guavashore.calls.SuspectGuard
+import io.guavashore.metrics.Metrics
+import io.guavashore.metrics.OperationsServer
+import io.guavashore.samples.StepRegistry
+import io.guavashore.settings.NodeSettings
+import io.guavashore.usage.UsageLedger
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.atomic.AtomicLong
+
+private val log = KotlinLogging.logger {}
+
+/** One entry process. */
+internal class Entry(
+    private val settings: NodeSettings,
+    private val clock: MonotonicClock = systemMonotonicClock,
+    private val wallClock: WallClock = systemWallClock,
+) {
+    private val incarnation = Incarnation(wallClock())
+    private val attempts = AtomicLong()
+    private val metrics = Metrics()
+    private val stop = CompletableDeferred<Unit>()
+    private val stopped = CompletableDeferred<Unit>()
+
+    /** Runs until SIGTERM, then finishes the calls that are open and leaves. */
+    suspend fun run() =
+        resourceScope {
+            val scope = install({ CoroutineScope(SupervisorJob() + Dispatchers.Default) }) { it, _ -> it.cancel() }
+            val selector = install({ SelectorManager(Dispatchers.IO) }) { it, _ -> it.close() }
+            val client = install({ httpClient() }) { it, _ -> it.close() }
+            Runtime.getRuntime().addShutdownHook(Thread(::stopAndWait))
+            try {
+                serve(scope, selector, client)
+            } finally {
+                stopped.complete(Unit)
+            }
+        }
+
+    private suspend fun serve(
+        scope: CoroutineScope,
+        selector: SelectorManager,
+        client: HttpClient,
+    ) {
+        val engine = HttpEngineClient(client, clock)
+        val guard = SuspectGuard(clock)
+        lateinit var link: StewardLink
+        val environment =
+            PoolEnvironment(
+                zone = settings.zone,
+                clock = clock,
+                guard = guard,
+                engine = engine::generate,
+                isUp = engine::isUp,
+                newAttemptId = ::newAttemptId,
+                metrics = metrics,
+                onWaiting = { link.wake() },
+            )
+        val state = EntryState(settings.vm, environment)
+        val ledger = UsageLedger(CounterSource(settings.vm, incarnation), wallClock)
+        link = StewardLink(settings.vm, incarnation, settings.entryStewards, state, guard, ledger, clock, selector)
+        val gate = Gate(state)
+        val services =
+            EntryServices(gate, state, metrics, clock, wallClock, ledger, HttpPlainClient(client)::call, ::newAttemptId)
+        val registry = StepRegistry(clock)
+        val steps = StepRunner(registry, services, scope)
+        val front = HttpFront(settings.entryListen, services, StepRoutes(services, registry, steps))
+        val operations =
+            OperationsServer(
+                settings.entryOperations,
+                metrics,
+                { notReady(gate, state) },
+                { status(state, front, registry) },
+            )
+        registerGauges(state, front, registry)
+        operations.start()
+        front.start()
+        scope.launch { link.run() }
+        scope.launch { housekeeping(state, steps) }
+        log.info { "entry of ${settings.vm} in ${settings.zone} serves at ${settings.entryListen}" }
+        stop.await()
+        gate.isShuttingDown = true
+        log.info { "stopping: ${front.openCalls} calls to finish" }
+        finishCalls(front, registry)
+        link.reportOnce()
+        front.stop()
+        operations.close()
+        log.info { "stopped" }
+    }
+
+    private suspend fun housekeeping(
+        state: EntryState,
+        steps: StepRunner,
+    ) {
+        while (true) {
+            delay(HOUSEKEEPING_MS)
+            state.refresh()
+            steps.dropDone()
+        }
+    }
+
+    /** Calls run on; trainers turn elsewhere, since their routes are refused. The balancer sees /readyz fail first. */
+    private suspend fun finishCalls(
+        front: HttpFront,
+        registry: StepRegistry,
+    ) {
+        withTimeoutOrNull(settings.drainTimeoutMs) {
+            delay(BALANCER_MS)
+            while (front.openCalls > 0) delay(DRAIN_POLL_MS)
+        }
+        if (registry.keys().isNotEmpty()) log.info { "steps left to other entries: ${registry.keys().size}" }
+    }
+
+    private fun notReady(
+        gate: Gate,
+        state: EntryState,
+    ): String? =
+        when {
+            gate.isShuttingDown -> "shutting down"
+            !state.isConfigured() -> "no declaration is in force yet"
+            else -> null
+        }
+
+    private fun status(
+        state: EntryState,
+        front: HttpFront,
+        registry: StepRegistry,
+    ): String =
+        apiJson.encodeToString(
+            EntryStatus(
+                vm = settings.vm,
+                zone = settings.zone,
+                revisions = state.teams().associate { it.declaration.team to it.snapshot.revision },
+                openCalls = front.openCalls,
+                steps = registry.keys().mapNotNull { key -> registry.withStep(key) { it.status(clock()) } },
+                targets =
+                    state.teams().flatMap { it.pools.values }.flatMap { it.dispatcher.targets() }.map {
+                        TargetUse(it.target.id, it.target.stage, it.limit, it.target.weightVersion)
+                    },
+            ),
+        )
+
+    private fun registerGauges(
+        state: EntryState,
+        front: HttpFront,
+        registry: StepRegistry,
+    ) {
+        metrics.gauge("calls.open") { front.openCalls.toDouble() }
+        metrics.gauge("steps.owned") { registry.keys().size.toDouble() }
+        metrics.gauge("sessions.keyed") { state.sessions.size.toDouble() }
+        metrics.gauge("calls.waiting") {
+            state.teams().sumOf { team -> team.pools.values.sumOf { it.dispatcher.waiting() } }.toDouble()
+        }
+    }
+
+    private fun newAttemptId() = AttemptId("${settings.vm}-${incarnation.value}-${attempts.incrementAndGet()}")
+
+    private fun httpClient() =
+        HttpClient(CIO) {
+            expectSuccess = false
+            followRedirects = false
+            engine {
+                requestTimeout = 0
+                maxConnectionsCount = MAX_CONNECTIONS
+                endpoint {
+                    maxConnectionsPerRoute = MAX_CONNECTIONS
+                    connectTimeout = CONNECT_TIMEOUT_MS
+                    keepAliveTime = KEEP_ALIVE_MS
+                }
+            }
+        }
+
+    private fun stopAndWait() {
+        stop.complete(Unit)
+        kotlinx.coroutines.runBlocking { stopped.await() }
+    }
+
+    private companion object {
+        const val HOUSEKEEPING_MS = 250L
+        const val DRAIN_POLL_MS = 50L
+        const val BALANCER_MS = 1_000L
+        const val MAX_CONNECTIONS = 20_000
+        const val CONNECT_TIMEOUT_MS = 500L
+        const val KEEP_ALIVE_MS = 5_000L
+    }
+}
--- /dev/null
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/TeamRuntime.kt
@@ -0,0 +1,40 @@
+/*
+ * One team on this entry: the revision in force and what was built from it.
+ */
+package io.guavashore.entry
+
+import io.guavashore.api.OrganisationId
+import io.guavashore.api.PoolId
+import io.guavashore.api.Target
+import io.guavashore.api.TargetStage
+import io.guavashore.api.TeamSnapshot
+import io.guavashore.keys.KeyRing
+
+/** Runtime of a team. Pools and limiters are kept from the [previous] revision where they still exist. */
+internal class TeamRuntime(
+    val snapshot: TeamSnapshot,
+    environment: PoolEnvironment,
+    previous: TeamRuntime?,
+) {
+    val declaration = snapshot.declaration
+    val keys = KeyRing(declaration)
+
+    val pools: Map<PoolId, PoolRuntime> =
+        declaration.pools.associate { pool ->
+            pool.id to (previous?.pools?.get(pool.id) ?: PoolRuntime(pool, environment, ::weightOf))
+        }
+
+    val organisations: Map<OrganisationId, OrganisationRuntime> =
+        declaration.organisations.associate { organisation ->
+            val id = organisation.id
+            id to (previous?.organisations?.get(id) ?: OrganisationRuntime(declaration.team, id, environment.clock))
+        }
+
+    /** Targets of the team's pools; those that the declaration drains are leaving, whatever the table says. */
+    fun ownTargets(all: List<Target>): List<Target> =
+        all.filter { it.team == declaration.team }.map {
+            if (it.id in declaration.drainedTargets) it.copy(stage = TargetStage.LEAVING) else it
+        }
+
+    private fun weightOf(id: OrganisationId) = declaration.organisation(id)?.weight ?: 1
+}
--- a/guavashore-membership/src/main/kotlin/io/guavashore/membership/Membership.kt
+++ b/guavashore-membership/src/main/kotlin/io/guavashore/membership/Membership.kt
@@ -92,7 +92,7 @@
             nextToProbe()?.let { out += probe(it.vm, it.control, nowMs) }
         }
         if (nowMs >= nextRetryAtMs) {
-            nextRetryAtMs = nowMs + terms.retryDeadEveryMs
+            nextRetryAtMs = nowMs + if (hasPeers()) terms.retryDeadEveryMs else terms.probeEveryMs
             unknownOrDead()?.let { out += probe(it.vm, it.control, nowMs) }
         }
         return out
--- /dev/null
+++ b/guavashore-metrics/src/main/kotlin/io/guavashore/metrics/Logs.kt
@@ -0,0 +1,47 @@
+/*
+ * Log output of a process.
+ */
+package io.guavashore.metrics
+
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.ConsoleAppender
+import ch.qos.logback.core.encoder.Encoder
+import net.logstash.logback.encoder.LogstashEncoder
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+
+/** Sends logs to the standard error output, as JSON lines or as text. */
+fun configureLogs(
+    json: Boolean,
+    level: String,
+) {
+    val context = LoggerFactory.getILoggerFactory() as LoggerContext
+    context.reset()
+    val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
+    val appender =
+        ConsoleAppender<ILoggingEvent>().apply {
+            this.context = context
+            target = "System.err"
+            encoder = if (json) jsonEncoder(context) else textEncoder(context)
+            start()
+        }
+    root.addAppender(appender)
+    root.level = Level.WARN
+    context.getLogger("io.guavashore").level = Level.toLevel(level)
+}
+
+private fun jsonEncoder(context: LoggerContext): Encoder<ILoggingEvent> =
+    LogstashEncoder().apply {
+        this.context = context
+        start()
+    }
+
+private fun textEncoder(context: LoggerContext): Encoder<ILoggingEvent> =
+    PatternLayoutEncoder().apply {
+        this.context = context
+        pattern = "%d{HH:mm:ss.SSS} %-5level %logger{0} %msg%n"
+        start()
+    }
--- a/guavashore-platform/src/main/kotlin/io/guavashore/platform/HttpPlatform.kt
+++ b/guavashore-platform/src/main/kotlin/io/guavashore/platform/HttpPlatform.kt
@@ -141,10 +141,10 @@
     private suspend inline fun <reified T> getStore(
         path: String,
         extraMs: Long = 0,
-        crossinline build: HttpRequestBuilder.() -> Unit,
+        crossinline configure: HttpRequestBuilder.() -> Unit,
     ): Result<T, StoreError> =
         call(HttpMethod.Get, path, extraMs) {
-            build()
+            configure()
         }.storeAnswer { json.decodeFromString<T>(it.body) }
 
     private suspend inline fun <reified T> get(path: String): Result<T, PlatformError> =
@@ -182,7 +182,7 @@
         method: HttpMethod,
         path: String,
         extraMs: Long = 0,
-        build: HttpRequestBuilder.() -> Unit,
+        configure: HttpRequestBuilder.() -> Unit,
     ): Outcome =
         try {
             withTimeout(timeoutMs + extraMs) {
@@ -190,7 +190,7 @@
                     client.request {
                         url("$baseUrl$path")
                         this.method = method
-                        build()
+                        configure()
                     }
                 Sent(Answer(response.status, response.bodyAsText()))
             }
--- a/guavashore-samples/src/main/kotlin/io/guavashore/samples/StepError.kt
+++ b/guavashore-samples/src/main/kotlin/io/guavashore/samples/StepError.kt
@@ -21,7 +21,8 @@
 
     /** The step is not known here. */
     data object Unknown : StepError {
-        override val message = "the step is not known here; put it again with the groups received so far and a higher owner epoch"
+        override val message =
+            "the step is not known here; put it again with the groups received so far and a higher owner epoch"
     }
 
     /** The step is larger than declared for the trainer, or has no groups. */
--- a/guavashore-samples/src/main/kotlin/io/guavashore/samples/StepState.kt
+++ b/guavashore-samples/src/main/kotlin/io/guavashore/samples/StepState.kt
@@ -21,6 +21,17 @@
     val maxDuplicatedShare: Double = 0.05,
 )
 
+/** Samples that a trainer has confirmed to have. */
+data class Acknowledged(
+    val samples: Long = 0,
+    val tokens: Long = 0,
+) {
+    internal fun plus(
+        samples: Long,
+        tokens: Int,
+    ) = Acknowledged(this.samples + samples, this.tokens + tokens)
+}
+
 /** State machine of a step. Not thread-safe. */
 class StepState(
     val trainer: TrainerId,
@@ -58,6 +69,7 @@
     private var droppedUnlabelled = 0
     private var duplicated = 0
     private var wastedTokens = 0L
+    private var acknowledged = Acknowledged()
     private val durationsMs = ArrayList<Long>()
     private val startedAtMs = nowMs
 
@@ -72,6 +84,9 @@
         byId = entries.values.flatten().associateBy { it.id }
     }
 
+    /** What the trainer has confirmed to have received since the last call. */
+    fun takeAcknowledged(): Acknowledged = acknowledged.also { acknowledged = Acknowledged() }
+
     /** True once the trainer has every group. */
     fun isComplete(): Boolean = entries.isEmpty()
 
@@ -196,7 +211,11 @@
     ): Long? = if (finished == 0) null else (nowMs - startedAtMs) * (total - finished) / finished
 
     private fun forget(received: Set<GroupId>) {
-        entries.keys.removeAll(received)
+        val gone = entries.filterKeys { it in received }
+        gone.values.flatten().forEach { entry ->
+            acknowledged = acknowledged.plus(samples = 1, tokens = entry.generation?.tokens?.size ?: 0)
+        }
+        entries.keys.removeAll(gone.keys)
     }
 
     private fun dropStale() {
--- /dev/null
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinMain.kt
@@ -0,0 +1,79 @@
+/*
+ * Binary of the stand-ins: `platform` serves the platform and its targets, `demo` runs the demonstration against entries.
+ */
+package io.guavashore.standin
+
+import io.guavashore.api.Endpoint
+import io.guavashore.api.VmId
+import io.guavashore.api.ZoneId
+import io.guavashore.metrics.configureLogs
+import io.guavashore.platform.VmRow
+import io.guavashore.platform.VmState
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.required
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.runBlocking
+import kotlin.system.exitProcess
+
+private class PlatformCommand : Subcommand("platform", "Serve the stand-in platform and run its targets") {
+    private val port by option(ArgType.Int, "port", description = "Port on 127.0.0.1").required()
+    private val vms by option(
+        ArgType.String,
+        "vms",
+        description = "VMs as NAME@ZONE@IP:PORT of the steward, comma-separated",
+    ).required()
+    private val tickMs by option(ArgType.Int, "tick-ms", description = "Time of one token").default(TICK_MS)
+
+    override fun execute() {
+        val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+        val fleet = StandinFleet(scope, EngineTraits(tickMs = tickMs.toLong()))
+        StandinPlatform(port, fleet, vms.split(',').map(::parseVm)).start()
+        Thread.currentThread().join()
+    }
+
+    private fun parseVm(text: String): VmRow {
+        val (vm, zone, control) = text.split('@')
+        val endpoint = requireNotNull(Endpoint.parseOrNull(control)) { "$control is not IP:PORT" }
+        return VmRow(VmId(vm), ZoneId(zone), endpoint, VmState.LIVE)
+    }
+
+    private companion object {
+        const val TICK_MS = 10
+    }
+}
+
+private class DemoCommand : Subcommand("demo", "Run calls and a step against entries and check every answer") {
+    private val entries by option(ArgType.String, "entries", description = "Entries as URL, comma-separated").required()
+    private val operations by option(
+        ArgType.String,
+        "operations",
+        description = "Their operations URLs, comma-separated",
+    ).required()
+    private val platform by option(ArgType.String, "platform", description = "URL of the stand-in platform").required()
+    private val killPid by option(ArgType.Int, "kill-pid", description = "Process of the first entry, killed half way")
+    private val groups by option(ArgType.Int, "groups", description = "Groups of the step").default(GROUPS)
+
+    override fun execute() {
+        val setup = DemoSetup(entries.split(','), operations.split(','), platform, killPid?.toLong(), groups)
+        val passed = runBlocking(Dispatchers.Default) { DemoDriver(setup).run() }
+        exitProcess(if (passed) 0 else 1)
+    }
+
+    private companion object {
+        const val GROUPS = 48
+    }
+}
+
+@OptIn(ExperimentalCli::class)
+fun main(args: Array<String>) {
+    configureLogs(json = false, level = "info")
+    val parser = ArgParser("guavashore-standin")
+    parser.subcommands(PlatformCommand(), DemoCommand())
+    parser.parse(args)
+}
--- /dev/null
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinPlatform.kt
@@ -0,0 +1,237 @@
+/*
+ * Stand-in of the platform: object store, order interface, usage intake, VM list and weight store over HTTP, with switches
+ * for faults under /admin.
+ */
+package io.guavashore.standin
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOr
+import com.github.michaelbull.result.getOrElse
+import io.guavashore.api.TargetId
+import io.guavashore.api.ZoneId
+import io.guavashore.platform.LatestWeightsBody
+import io.guavashore.platform.ObjectPath
+import io.guavashore.platform.ObjectVersion
+import io.guavashore.platform.PlatformRefusalBody
+import io.guavashore.platform.StartOrder
+import io.guavashore.platform.StopOrder
+import io.guavashore.platform.StoreError
+import io.guavashore.platform.UsageReport
+import io.guavashore.platform.VmRow
+import io.guavashore.platform.WriteBody
+import io.guavashore.platform.WrittenBody
+import io.guavashore.testing.InMemoryStore
+import io.guavashore.testing.StoreFault
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Routing
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.put
+import io.ktor.server.routing.routing
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** What the stand-in has seen, to hold against what callers and reports say. */
+@Serializable
+data class StandinTruth(
+    val orderRuns: Map<String, Int>,
+    val usage: List<UsageReport>,
+    val conflictingReports: Int,
+    val storeCalls: Long,
+    val ordersByFencing: Map<String, Int>,
+    val targets: List<String>,
+)
+
+/** The stand-in on a port. */
+class StandinPlatform(
+    private val port: Int,
+    private val fleet: StandinFleet,
+    vms: List<VmRow>,
+) {
+    private val memory = InMemoryStore()
+    private val vms = CopyOnWriteArrayList(vms)
+    private val weights = ConcurrentHashMap<String, Long>()
+    private val usage = CopyOnWriteArrayList<UsageReport>()
+    private val json = Json { ignoreUnknownKeys = true }
+    private val server: EmbeddedServer<*, *> = embeddedServer(CIO, host = "127.0.0.1", port = port) { routes() }
+
+    fun start() {
+        server.start(wait = false)
+    }
+
+    private fun Application.routes() {
+        routing {
+            storeRoutes()
+            orderRoutes()
+            otherRoutes()
+            adminRoutes()
+        }
+    }
+
+    private fun Routing.storeRoutes() {
+        get("/object") {
+            val found = memory.asStore.read(ObjectPath(query(call, "path")))
+            if (found.isOk && found.getOr(null) == null) {
+                call.respondText("none", status = HttpStatusCode.NotFound)
+            } else {
+                answer(call, found)
+            }
+        }
+        put("/object") {
+            val body = json.decodeFromString<WriteBody>(call.receiveText())
+            val written = memory.asStore.write(ObjectPath(body.path), body.value, ObjectVersion(body.expected))
+            if (written.getError() is StoreError.Conflict) {
+                call.respondText("conflict", status = HttpStatusCode.Conflict)
+            } else {
+                answer(call, written) { json.encodeToString(WrittenBody(it.value)) }
+            }
+        }
+        get("/objects") { answer(call, memory.asStore.list(query(call, "prefix"))) }
+        get("/watch") {
+            val cursor = query(call, "cursor").toLong()
+            answer(call, memory.asStore.watch(query(call, "prefix"), cursor, query(call, "waitMs").toLong()))
+        }
+    }
+
+    private fun Routing.orderRoutes() {
+        get("/zones/{zone}/targets") {
+            fleet.dropCrashed()
+            respondJson(call, json.encodeToString(fleet.list(zoneOf(call))))
+        }
+        post("/zones/{zone}/targets") {
+            val order = json.decodeFromString<StartOrder>(call.receiveText())
+            fleet.seen += SeenOrder("start", zoneOf(call).value, order.orderId, order.fencingNumber.value)
+            when {
+                !fleet.admits(zoneOf(call), order.fencingNumber.value) -> refuse(call, PlatformRefusalBody.FENCED)
+                order.cheap && fleet.noCheap -> refuse(call, PlatformRefusalBody.NONE_AVAILABLE)
+                else -> respondJson(call, json.encodeToString(fleet.start(zoneOf(call), order)))
+            }
+        }
+        post("/zones/{zone}/targets/{target}/stop") {
+            val order = json.decodeFromString<StopOrder>(call.receiveText())
+            fleet.seen += SeenOrder("stop", zoneOf(call).value, order.orderId, order.fencingNumber.value)
+            if (!fleet.admits(
+                    zoneOf(call),
+                    order.fencingNumber.value,
+                )
+            ) {
+                return@post refuse(call, PlatformRefusalBody.FENCED)
+            }
+            fleet.stop(order.target)
+            respondJson(call, "{}")
+        }
+    }
+
+    private fun Routing.otherRoutes() {
+        post("/usage") {
+            usage += json.decodeFromString<UsageReport>(call.receiveText())
+            respondJson(call, "{}")
+        }
+        get("/vms") { respondJson(call, json.encodeToString(vms.toList())) }
+        get(
+            "/weights/{team}/{pool}",
+        ) { respondJson(call, json.encodeToString(LatestWeightsBody(weights[poolOf(call)]))) }
+    }
+
+    private fun Routing.adminRoutes() {
+        post("/admin/store/{fault}") {
+            memory.fault = StoreFault.valueOf(call.parameters["fault"].orEmpty().uppercase())
+            call.respondText("ok")
+        }
+        post("/admin/weights/{team}/{pool}/{version}") {
+            val version = call.parameters["version"].orEmpty().toLong()
+            weights[poolOf(call)] = version
+            fleet.newestWeights = maxOf(fleet.newestWeights, version)
+            call.respondText("ok")
+        }
+        post("/admin/crash/{target}") {
+            val crashed = fleet.crash(TargetId(call.parameters["target"].orEmpty()))
+            call.respondText(crashed.toString())
+        }
+        post("/admin/reclaim/{zone}/{noticeMs}") {
+            call.respondText(fleet.reclaim(zoneOf(call), call.parameters["noticeMs"].orEmpty().toLong()).toString())
+        }
+        post("/admin/no-cheap/{value}") {
+            fleet.noCheap = call.parameters["value"].toBoolean()
+            call.respondText("ok")
+        }
+        post("/admin/vms/remove/{vm}") {
+            vms.removeIf { it.vm.value == call.parameters["vm"] }
+            call.respondText("ok")
+        }
+        get("/admin/truth") { respondJson(call, json.encodeToString(truth())) }
+    }
+
+    private fun truth(): StandinTruth {
+        val conflicting =
+            usage.groupBy { it.team to it.windowStartMs }.count { (_, reports) ->
+                reports.map { it.lines }.distinct().size >
+                    1
+            }
+        return StandinTruth(
+            orderRuns = fleet.book.all(),
+            usage = usage.toList(),
+            conflictingReports = conflicting,
+            storeCalls = memory.calls,
+            ordersByFencing =
+                fleet.seen
+                    .toList()
+                    .groupingBy { "${it.zone}/${it.fencingNumber}" }
+                    .eachCount(),
+            targets = fleet.engines().map { it.id.value },
+        )
+    }
+
+    private suspend inline fun <reified T> answer(
+        call: ApplicationCall,
+        result: Result<T, StoreError>,
+        encode: (T) -> String = { json.encodeToString(it) },
+    ) {
+        val error = result.getError()
+        when {
+            error is StoreError.Unavailable ->
+                call.respondText(
+                    error.message,
+                    status = HttpStatusCode.ServiceUnavailable,
+                )
+            error != null -> call.respondText(error.message, status = HttpStatusCode.BadRequest)
+            else -> respondJson(call, encode(result.value()))
+        }
+    }
+
+    private suspend fun refuse(
+        call: ApplicationCall,
+        kind: String,
+    ) = call.respondText(
+        json.encodeToString(PlatformRefusalBody(kind)),
+        ContentType.Application.Json,
+        HttpStatusCode.Conflict,
+    )
+
+    private suspend fun respondJson(
+        call: ApplicationCall,
+        body: String,
+    ) = call.respondText(body, ContentType.Application.Json)
+
+    private fun query(
+        call: ApplicationCall,
+        name: String,
+    ): String = call.request.queryParameters[name].orEmpty()
+
+    private fun zoneOf(call: ApplicationCall) = ZoneId(call.parameters["zone"].orEmpty())
+
+    private fun poolOf(call: ApplicationCall) = "${call.parameters["team"]}/${call.parameters["pool"]}"
+}
+
+private fun <T> Result<T, StoreError>.value(): T = getOrElse { error("no value") }
--- /dev/null
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/MembershipService.kt
@@ -0,0 +1,135 @@
+/*
+ * Runs the membership over UDP and fetches facts over the control connections.
+ */
+package io.guavashore.steward
+
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onSuccess
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.Endpoint
+import io.guavashore.api.MonotonicClock
+import io.guavashore.api.VmId
+import io.guavashore.membership.FactTable
+import io.guavashore.membership.MemberHint
+import io.guavashore.membership.MemberMessage
+import io.guavashore.membership.MemberRecord
+import io.guavashore.membership.Membership
+import io.guavashore.membership.Outgoing
+import io.guavashore.wire.ControlMessage
+import io.guavashore.wire.decodeBody
+import io.guavashore.wire.encodeBody
+import io.guavashore.wire.expect
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.BoundDatagramSocket
+import io.ktor.network.sockets.Datagram
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.io.Buffer
+import kotlinx.io.readByteArray
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
+
+private val log = KotlinLogging.logger {}
+
+/** Membership of one steward. */
+internal class MembershipService(
+    self: MemberRecord,
+    private val facts: FactTable,
+    private val peers: Peers,
+    private val clock: MonotonicClock,
+    private val scope: CoroutineScope,
+) {
+    private val membership = Membership(self, facts, Random(self.incarnation))
+    private val fetching = ConcurrentHashMap.newKeySet<Endpoint>()
+    private lateinit var socket: BoundDatagramSocket
+
+    /** Bytes sent and received by UDP. */
+    val bytes = AtomicLong()
+
+    /** Members that are alive or merely suspect, this one included. */
+    fun live(): List<MemberRecord> = synchronized(membership) { membership.live() }
+
+    fun find(vm: VmId): MemberRecord? = live().firstOrNull { it.vm == vm }
+
+    fun hasPeers(): Boolean = synchronized(membership) { membership.hasPeers() }
+
+    fun hint(all: List<MemberHint>) = synchronized(membership) { membership.hint(all) }
+
+    /** Binds the socket and starts probing. */
+    suspend fun start(
+        endpoint: Endpoint,
+        selector: SelectorManager,
+    ) {
+        socket = aSocket(selector).udp().bind(InetSocketAddress(endpoint.host, endpoint.port))
+        scope.launch { receive() }
+        scope.launch { tick() }
+    }
+
+    /** Tells some members that this one leaves. */
+    suspend fun leave() = send(synchronized(membership) { membership.leave() })
+
+    private suspend fun tick() {
+        var known = emptySet<VmId>()
+        while (true) {
+            send(synchronized(membership) { membership.tick(clock()) })
+            val now = live().map { it.vm }.toSet()
+            if (now != known) log.info { "live members: ${now.joinToString()}" }
+            known = now
+            delay(TICK_MS)
+        }
+    }
+
+    private suspend fun receive() {
+        for (datagram in socket.incoming) {
+            val bytes = datagram.packet.readByteArray()
+            this.bytes.addAndGet(bytes.size.toLong())
+            val message = decodeBody(MemberMessage.serializer(), bytes).getOrElse { continue }
+            val source = datagram.address as? InetSocketAddress ?: continue
+            val endpoint = Endpoint(source.hostname, source.port)
+            send(synchronized(membership) { membership.receive(message, endpoint, clock()) })
+            val missing = facts.missing(message.gossip.facts)
+            if (missing.isNotEmpty() && fetching.add(message.from.control)) {
+                scope.launch { fetch(message.from.control, missing) }
+            }
+        }
+    }
+
+    private suspend fun fetch(
+        from: Endpoint,
+        keys: List<String>,
+    ) {
+        try {
+            peers
+                .client(from)
+                .exchange(ControlMessage.FetchFacts(keys))
+                .expect<ControlMessage.FactsReply>()
+                .onSuccess { reply -> reply.facts.forEach(facts::offer) }
+        } finally {
+            fetching.remove(from)
+        }
+    }
+
+    private suspend fun send(all: List<Outgoing>) {
+        all.forEach { outgoing ->
+            val bytes = encodeBody(MemberMessage.serializer(), outgoing.message)
+            this.bytes.addAndGet(bytes.size.toLong())
+            val packet = Buffer().apply { write(bytes) }
+            try {
+                socket.send(Datagram(packet, InetSocketAddress(outgoing.to.host, outgoing.to.port)))
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                // An unreachable peer is found out by its missing ack.
+            }
+        }
+    }
+
+    private companion object {
+        const val TICK_MS = 100L
+    }
+}
--- /dev/null
+++ b/guavashore-wire/src/main/kotlin/io/guavashore/wire/FactKeys.kt
@@ -0,0 +1,42 @@
+/*
+ * Keys of the facts that stewards spread and entries follow.
+ */
+package io.guavashore.wire
+
+import io.guavashore.api.TeamId
+import io.guavashore.api.VmId
+import io.guavashore.api.ZoneId
+
+/** Keys of facts. */
+object FactKeys {
+    /** Content: a `TeamSnapshot`; term: its revision. */
+    const val CONFIGURATION = "config/"
+
+    /** Content: a `TargetTable`; term: fencing number of the zone's lease. */
+    const val TARGETS = "targets/"
+
+    /** Content: list of `SuspectRecord`; term: incarnation of the VM's steward. */
+    const val SUSPECTS = "suspects/"
+
+    /** Content: empty; shows that the VM's steward reaches the platform. */
+    const val PULSE = "pulse/"
+
+    /** Content: a `LeaseNotice`; term: fencing number. */
+    const val LEADER = "leader/"
+
+    /** Content: list of `VmRow`; term: fencing number of the coordinator's lease. */
+    const val VMS = "vms"
+
+    /** Name of the duty that one steward of the whole system holds. */
+    const val COORDINATOR = "coordinator"
+
+    fun configuration(team: TeamId) = "$CONFIGURATION$team"
+
+    fun targets(zone: ZoneId) = "$TARGETS$zone"
+
+    fun suspects(vm: VmId) = "$SUSPECTS$vm"
+
+    fun pulse(vm: VmId) = "$PULSE$vm"
+
+    fun leader(duty: String) = "$LEADER$duty"
+}
