--- a/guavashore-admission/src/main/kotlin/io/guavashore/admission/HeldShares.kt
+++ b/guavashore-admission/src/main/kotlin/io/guavashore/admission/HeldShares.kt
@@ -1,6 +1,6 @@
 /*
- * Shares as one entry holds them. Without a live share the entry falls back to its equal part, which the allocator has
- * set aside for it by then.
+ * Shares as one entry holds them. Without a live share the entry falls back to its equal part, which the allocator
+ * has set aside for it by then.
  */
 package io.guavashore.admission
 
--- a/guavashore-admission/src/main/kotlin/io/guavashore/admission/ShareAllocator.kt
+++ b/guavashore-admission/src/main/kotlin/io/guavashore/admission/ShareAllocator.kt
@@ -51,7 +51,9 @@
     private val startedAtMs: Long,
     private val terms: ShareTerms = ShareTerms(),
 ) {
-    /** The entry holds [granted] if the last answer reached it, else still [heldBefore]; its next report tells which. */
+    /**
+     * The entry holds [granted] if the last answer reached it, else still [heldBefore]; its next report tells which.
+     */
     private class Claimant(
         var demand: Demand,
         var reportedAtMs: Long,
--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/AfterFailure.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/AfterFailure.kt
@@ -1,6 +1,6 @@
 /*
- * What follows a failed attempt. Two promises rest on this table: "not run" is said only if no attempt can have reached
- * a target, and a request that is not idempotent is never tried again once one may have.
+ * What follows a failed attempt. Two promises rest on this table: "not run" is said only if no attempt can have
+ * reached a target, and a request that is not idempotent is never tried again once one may have.
  */
 package io.guavashore.calls
 
--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/CallRunner.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/CallRunner.kt
@@ -1,6 +1,6 @@
 /*
- * Attempts of one call: takes a slot, runs it on the slot's target, and follows the failure table until the call has its
- * final answer.
+ * Attempts of one call: takes a slot, runs it on the slot's target, and follows the failure table until the call
+ * has its final answer.
  */
 package io.guavashore.calls
 
--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/EngineClient.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/EngineClient.kt
@@ -29,7 +29,10 @@
     val deadlineMs: Long,
 )
 
-/** Runs a generation; the flow ends after the last token or fails with [TargetFailure]. Cancelling it frees the engine. */
+/**
+ * Runs a generation; the flow ends after the last token or fails with [TargetFailure]. Cancelling it frees the
+ * engine.
+ */
 typealias GenerateOnTarget = (EngineCall) -> Flow<TokenChunk>
 
 /** True if the target still answers. Tells a crash from a broken connection. */
--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/GenerationRunner.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/GenerationRunner.kt
@@ -1,6 +1,6 @@
 /*
- * Generations on engines. An attempt that breaks is continued on another target after the tokens produced so far, so the
- * caller never sees parts of two runs; each span keeps the version that produced it.
+ * Generations on engines. An attempt that breaks is continued on another target after the tokens produced so far,
+ * so the caller never sees parts of two runs; each span keeps the version that produced it.
  */
 package io.guavashore.calls
 
--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/HttpEngineClient.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/HttpEngineClient.kt
@@ -1,6 +1,7 @@
 /*
- * Adapter to model engines over HTTP: one POST, answered by a line of JSON for each batch of tokens. Each line repeats
- * the attempt's id, so that a late or crossed answer is noticed, and the last one tells the number of tokens.
+ * Adapter to model engines over HTTP: one POST, answered by a line of JSON for each batch of tokens. Each line
+ * repeats the attempt's id, so that a late or crossed answer is noticed, and the last one tells the number of
+ * tokens.
  */
 package io.guavashore.calls
 
@@ -29,7 +30,6 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import java.net.ConnectException
 
 /** Body of a generation request to an engine. */
 @Serializable
@@ -74,16 +74,8 @@
                         checkStatus(response)
                         readLines(call, response.bodyAsChannel())
                     }
-            } catch (e: TargetFailure) {
-                throw e
-            } catch (e: TimeoutCancellationException) {
-                throw TargetFailure(BreakPoint.TIMEOUT, "the target fell silent")
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: ConnectException) {
-                throw TargetFailure(BreakPoint.CONNECT, "no connection")
             } catch (e: Exception) {
-                throw TargetFailure(if (answered) BreakPoint.ANSWERING else BreakPoint.SENT, e.javaClass.simpleName)
+                throw asTargetFailure(e, answered)
             }
         }
 
--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/TargetFailure.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/TargetFailure.kt
@@ -3,6 +3,12 @@
  */
 package io.guavashore.calls
 
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.TimeoutCancellationException
+import java.io.IOException
+import java.net.ConnectException
+import java.net.http.HttpConnectTimeoutException
+
 /** Point at which an attempt broke. */
 enum class BreakPoint(
     val mayHaveRun: Boolean,
@@ -34,3 +40,26 @@
     val breakPoint: BreakPoint,
     message: String,
 ) : Exception("$breakPoint: $message")
+
+/**
+ * What to throw for [thrown] by an HTTP client. Cancellation stays what it is.
+ *
+ * @param answered whether the answer had begun
+ */
+internal fun asTargetFailure(
+    thrown: Exception,
+    answered: Boolean,
+): Exception =
+    when (thrown) {
+        is TargetFailure -> thrown
+        is TimeoutCancellationException -> TargetFailure(BreakPoint.TIMEOUT, "no whole answer in time")
+        is CancellationException -> thrown
+        is ConnectException, is HttpConnectTimeoutException -> TargetFailure(BreakPoint.CONNECT, "no connection")
+        is IOException -> (thrown.cause as? TargetFailure) ?: broken(thrown, answered)
+        else -> broken(thrown, answered)
+    }
+
+private fun broken(
+    thrown: Exception,
+    answered: Boolean,
+) = TargetFailure(if (answered) BreakPoint.ANSWERING else BreakPoint.SENT, thrown.javaClass.simpleName)
--- /dev/null
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
@@ -0,0 +1,221 @@
+package io.guavashore.calls
+
+import io.guavashore.api.AttemptId
+import io.guavashore.api.Endpoint
+import io.guavashore.api.GenerateRequest
+import io.guavashore.api.PoolId
+import io.guavashore.api.Target
+import io.guavashore.api.TargetId
+import io.guavashore.api.TargetKind
+import io.guavashore.api.TargetStage
+import io.guavashore.api.TeamId
+import io.guavashore.api.ZoneId
+import io.guavashore.api.systemMonotonicClock
+import kotlinx.coroutines.flow.toList
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertTrue
+
+/**
+ * Contract of both target clients, against a server that sends exactly the given bytes and then closes or keeps
+ * still.
+ */
+class TargetClientTest {
+    private val client = targetHttpClient()
+    private val requests = mutableListOf<String>()
+    private val connections = AtomicInteger()
+    private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
+
+    @AfterEach
+    fun close() {
+        server.close()
+        client.close()
+    }
+
+    private fun serve(
+        answer: String,
+        thenClose: Boolean = true,
+    ) = thread(isDaemon = true) {
+        while (!server.isClosed) {
+            val socket = runCatching { server.accept() }.getOrNull() ?: return@thread
+            connections.incrementAndGet()
+            thread(isDaemon = true) { answerOn(socket, answer, thenClose) }
+        }
+    }
+
+    private fun answerOn(
+        socket: Socket,
+        answer: String,
+        thenClose: Boolean,
+    ) {
+        val buffer = ByteArray(16_384)
+        val count = socket.getInputStream().read(buffer)
+        synchronized(requests) { requests += String(buffer, 0, maxOf(0, count)) }
+        socket.getOutputStream().apply {
+            write(answer.toByteArray())
+            flush()
+        }
+        if (thenClose) socket.close()
+    }
+
+    private fun target() =
+        Target(
+            TargetId("t"),
+            TeamId("t"),
+            PoolId("p"),
+            TargetKind.PLAIN,
+            ZoneId("a"),
+            Endpoint("127.0.0.1", server.localPort),
+            1,
+            TargetStage.SERVING,
+        )
+
+    private fun callPlain(maxAnswerBytes: Long = 1_000): PlainAnswer =
+        runBlocking {
+            val request = PlainRequest("POST", "/order?x=1", "text/plain", null, "body".toByteArray())
+            HttpPlainClient().call(PlainCall(target(), AttemptId("a1"), request, maxAnswerBytes, timeoutMs = 700))
+        }
+
+    private fun generate(produced: List<Int> = emptyList()): List<TokenChunk> =
+        runBlocking {
+            val call =
+                EngineCall(
+                    target(),
+                    AttemptId("a1"),
+                    GenerateRequest(listOf(1), maxTokens = 3),
+                    produced,
+                    deadlineMs = systemMonotonicClock() + 700,
+                )
+            HttpEngineClient(client, systemMonotonicClock).generate(call).toList()
+        }
+
+    private fun head(
+        length: Int,
+        more: String = "",
+    ) = "HTTP/1.1 200 OK\r\nContent-Length: $length\r\nContent-Type: text/plain\r\n$more\r\n"
+
+    private fun chunked(vararg chunks: String) =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+            chunks.joinToString("") { "${it.length.toString(16)}\r\n$it\r\n" }
+
+    @Nested
+    inner class `a plain service's answer` {
+        @Test
+        fun `is passed on whole`() {
+            serve(head(5, "$ATTEMPT_HEADER: a1\r\n") + "whole")
+            assertEquals("whole", callPlain().body.decodeToString())
+        }
+
+        @Test
+        fun `that is broken in any way is never taken for an answer`() {
+            val table =
+                mapOf(
+                    "" to BreakPoint.SENT,
+                    "HTTP/1.1 200" to BreakPoint.SENT,
+                    "no http at all\r\n\r\n" to BreakPoint.SENT,
+                    head(10) + "short" to BreakPoint.ANSWERING,
+                    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nno marked end" to BreakPoint.WRONG_ANSWER,
+                    chunked("part") to BreakPoint.ANSWERING,
+                    chunked("part").dropLast(3) to BreakPoint.ANSWERING,
+                    head(5, "$ATTEMPT_HEADER: other\r\n") + "whole" to BreakPoint.WRONG_ANSWER,
+                    head(2_000) + "x".repeat(2_000) to BreakPoint.TOO_LONG,
+                    chunked("x".repeat(1_500), "") to BreakPoint.TOO_LONG,
+                )
+            repeat(TIMES) { table.forEach { (answer, expected) -> checkBreak(answer, expected) } }
+        }
+
+        private fun checkBreak(
+            answer: String,
+            expected: BreakPoint,
+        ) = TargetClientTest().run {
+            serve(answer)
+            val failure = assertFailsWith<TargetFailure>(answer.take(60)) { callPlain() }
+            close()
+            val allowed = setOf(expected, BreakPoint.WRONG_ANSWER)
+            assertTrue(failure.breakPoint in allowed, "${failure.breakPoint} for ${answer.take(60)}")
+            assertEquals(1, connections.get(), "the client must not send it again by itself: ${answer.take(60)}")
+        }
+
+        @Test
+        fun `that does not come in time is given up, and no byte of a refused connection counts as sent`() {
+            serve("", thenClose = false)
+            assertEquals(BreakPoint.TIMEOUT, assertFailsWith<TargetFailure> { callPlain() }.breakPoint)
+            server.close()
+            assertEquals(BreakPoint.CONNECT, assertFailsWith<TargetFailure> { callPlain() }.breakPoint)
+        }
+
+        @Test
+        fun `is asked for with named headers only`() {
+            serve(head(0))
+            callPlain()
+            val names =
+                requests
+                    .single()
+                    .lines()
+                    .drop(
+                        1,
+                    ).takeWhile { it.isNotBlank() }
+                    .map { it.substringBefore(':').lowercase() }
+            val known = setOf("host", "user-agent", "content-type", "content-length")
+            assertEquals(emptySet(), names.toSet() - known - ATTEMPT_HEADER.lowercase())
+        }
+    }
+
+    @Nested
+    inner class `an engine's answer` {
+        private val first = """{"attempt":"a1","firstIndex":0,"tokens":[7],"version":3}""" + "\n"
+        private val second = """{"attempt":"a1","firstIndex":1,"tokens":[8,9],"version":4}""" + "\n"
+        private val done = """{"attempt":"a1","done":true,"total":3}""" + "\n"
+
+        @Test
+        fun `keeps the version that the engine gives for each token`() {
+            serve(chunked(first, second, done, ""))
+            assertEquals(listOf(3L, 4L), generate().map { it.version.value })
+        }
+
+        @Test
+        fun `that is broken in any way fails`() {
+            val broken =
+                listOf(
+                    chunked(first, second, ""),
+                    chunked(first, second),
+                    chunked(first, done, ""),
+                    chunked(second, first, done, ""),
+                    chunked(first, first, done, ""),
+                    chunked(first, second.replace("a1", "a2"), done, ""),
+                    chunked(first.replace(""","version":3""", ""), second, done, ""),
+                    chunked("nonsense\n", done, ""),
+                    "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+                )
+            repeat(TIMES) {
+                broken.forEach { answer ->
+                    TargetClientTest().run {
+                        serve(answer)
+                        assertFailsWith<TargetFailure>(answer) { generate() }
+                        close()
+                    }
+                }
+            }
+        }
+
+        @Test
+        fun `that says it is full is a refusal without effect`() {
+            serve("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            assertEquals(BreakPoint.REFUSED, assertFailsWith<TargetFailure> { generate() }.breakPoint)
+        }
+    }
+
+    private companion object {
+        /** Breaks race with reading, so each is shown several times. */
+        const val TIMES = 10
+    }
+}
--- a/guavashore-configuration/src/main/kotlin/io/guavashore/configuration/ConfigurationStore.kt
+++ b/guavashore-configuration/src/main/kotlin/io/guavashore/configuration/ConfigurationStore.kt
@@ -78,10 +78,9 @@
                 changeId = request.changeId,
                 declaration = request.declaration,
             )
-        checkKeysStayWithdrawn(current?.let { snapshot(team, it).getOrElse { error -> return Err(error) } }, snapshot)
-            ?.let { return Err(it) }
-        writeSnapshot(team, snapshot)?.let { return Err(it) }
-        return writeHead(read, request, snapshot)
+        val before = current?.let { snapshot(team, it).getOrElse { error -> return Err(error) } }
+        val error = checkKeysStayWithdrawn(before, snapshot) ?: writeSnapshot(team, snapshot)
+        return if (error == null) writeHead(read, request, snapshot) else Err(error)
     }
 
     private suspend fun writeSnapshot(
--- a/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/ChangeCommands.kt
+++ b/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/ChangeCommands.kt
@@ -110,8 +110,8 @@
 }
 
 /**
- * Keeps what a file must not undo: keys that it no longer has stay known as withdrawn, and targets that are being drained
- * go on draining.
+ * Keeps what a file must not undo: keys that it no longer has stay known as withdrawn, and targets that are being
+ * drained go on draining.
  */
 internal fun carryOver(
     current: Declaration?,
@@ -204,7 +204,14 @@
                     concurrentRequests = concurrent ?: before.concurrentRequests,
                     weight = weight ?: before.weight,
                 )
-            if (after.requestsPerS <= 0 || after.tokensPerS <= 0 || after.concurrentRequests < 1 || after.weight < 1) {
+            val smallest =
+                listOf(
+                    after.requestsPerS,
+                    after.tokensPerS,
+                    after.concurrentRequests.toDouble(),
+                    after.weight.toDouble(),
+                )
+            if (smallest.any { it <= 0 }) {
                 fail(ExitCode.INVALID, "limits and weights must be above 0; see 'guavashorectl schema'")
             }
             declaration.copy(organisations = declaration.organisations.filter { it.id != id } + after)
--- a/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/DeclarationDiff.kt
+++ b/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/DeclarationDiff.kt
@@ -43,7 +43,9 @@
         is JsonPrimitive -> mapOf(path to element.content)
         is JsonObject -> element.entries.fold(emptyMap()) { all, (key, value) -> all + flatten(value, join(path, key)) }
         is JsonArray ->
-            element.foldIndexed(emptyMap()) { index, all, value -> all + flatten(value, join(path, nameOf(value, index))) }
+            element.foldIndexed(emptyMap()) { index, all, value ->
+                all + flatten(value, join(path, nameOf(value, index)))
+            }
     }
 
 private fun join(
--- a/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/FleetStatus.kt
+++ b/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/FleetStatus.kt
@@ -60,7 +60,9 @@
 
     /** Status of each member; null where it did not answer. */
     suspend fun all(): Map<String, NodeStatus?> {
-        val first = ask(address) ?: fail(ExitCode.FAILED, "steward $address does not answer; give the operations address of another")
+        val first =
+            ask(address)
+                ?: fail(ExitCode.FAILED, "steward $address does not answer; give the operations address of another")
         return coroutineScope {
             first.members
                 .map { member -> async { member.vm to ask("${member.operations.host}:${member.operations.port}") } }
@@ -97,7 +99,7 @@
 
     private suspend fun ask(address: String): NodeStatus? =
         try {
-            withTimeout(TIMEOUT_MS) { json.decodeFromString<NodeStatus>(client.get("http://$address/status").bodyAsText()) }
+            withTimeout(TIMEOUT_MS) { json.decodeFromString(client.get("http://$address/status").bodyAsText()) }
         } catch (e: TimeoutCancellationException) {
             null
         } catch (e: CancellationException) {
--- a/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/ReadCommands.kt
+++ b/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/ReadCommands.kt
@@ -5,6 +5,7 @@
 
 import com.github.michaelbull.result.getOrElse
 import io.guavashore.api.TeamId
+import io.guavashore.platform.UsageLine
 import io.guavashore.settings.readDeclaration
 import io.guavashore.usage.SealedWindow
 import io.guavashore.usage.sealedPrefix
@@ -20,7 +21,7 @@
         val current = configuration.newest(declaration.team).orFail()
         val changes = diff(current?.declaration, carryOver(current?.declaration, declaration))
         val human = if (changes.isEmpty()) "no changes to revision ${current?.revision}" else render(changes)
-        print(human) { prettyJson.encodeToString(changes.mapValues { (_, change) -> listOf(change.first, change.second) }) }
+        print(human) { prettyJson.encodeToString(changes.mapValues { (_, change) -> change.toList() }) }
     }
 }
 
@@ -29,7 +30,8 @@
     private val team by argument(ArgType.String, "team", "Team")
 
     override suspend fun run() {
-        val snapshot = configuration.newest(TeamId(team)).orFail() ?: fail(ExitCode.INVALID, "team $team has no declaration")
+        val snapshot = configuration.newest(TeamId(team)).orFail()
+        if (snapshot == null) fail(ExitCode.INVALID, "team $team has no declaration")
         println(prettyJson.encodeToString(snapshot))
     }
 }
@@ -57,15 +59,20 @@
         val stored = platform.store.list(sealedPrefix(TeamId(team))).getOrElse { fail(ExitCode.STORE, it.message) }
         val windows =
             stored.map { prettyJson.decodeFromString<SealedWindow>(it.value) }.sortedBy { it.report.windowStartMs }
-        val human =
-            windows.joinToString("\n") { window ->
-                val lines =
-                    window.report.lines.joinToString("; ") {
-                        "${it.organisation}: ${it.amount.requests} requests, ${it.amount.tokens} tokens, ${it.amount.samples} samples" +
-                            if (it.adjustment.isZero()) "" else " (adjusted by ${it.adjustment})"
-                    }
-                "${Instant.ofEpochMilli(window.report.windowStartMs)}\t${if (window.sent) "sent" else "sealed"}\t$lines"
-            }
+        val human = windows.joinToString("\n", transform = ::describe)
         print(human) { prettyJson.encodeToString(windows) }
     }
+
+    private fun describe(window: SealedWindow): String {
+        val start = Instant.ofEpochMilli(window.report.windowStartMs)
+        val lines = window.report.lines.joinToString("; ", transform = ::describe)
+        return "$start\t${if (window.sent) "sent" else "sealed"}\t$lines"
+    }
+
+    private fun describe(line: UsageLine): String {
+        val amount = line.amount
+        val adjusted = if (line.adjustment.isZero()) "" else " (adjusted by ${line.adjustment})"
+        val delivered = "${amount.requests} requests, ${amount.tokens} tokens, ${amount.samples} samples"
+        return "${line.organisation}: $delivered$adjusted"
+    }
 }
--- a/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/StatusCommands.kt
+++ b/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/StatusCommands.kt
@@ -17,7 +17,11 @@
 
 /** `guavashorectl status`. */
 internal class StatusCommand : Subcommand("status", "Show members, leases and revisions in force") {
-    private val steward by option(ArgType.String, "steward", description = "Operations address of any steward (or GUAVASHORE_STEWARD)")
+    private val steward by option(
+        ArgType.String,
+        "steward",
+        description = "Operations address of any steward (or GUAVASHORE_STEWARD)",
+    )
     private val json by option(ArgType.Boolean, "json", description = "Print JSON").default(false)
 
     override fun execute() {
@@ -33,7 +37,11 @@
         status: NodeStatus?,
     ): String {
         if (status == null) return "$vm\tno answer"
-        val revisions = status.revisions.joinToString { "${it.team}=${it.inForce}" + if (it.reason == null) "" else " (${it.reason})" }
+        val revisions =
+            status.revisions.joinToString {
+                "${it.team}=${it.inForce}" +
+                    if (it.reason == null) "" else " (${it.reason})"
+            }
         val leases =
             listOfNotNull(
                 status.zoneLease?.let { "holds ${status.zone} ($it)" },
@@ -45,14 +53,23 @@
 
 /** `guavashorectl step-status`. */
 internal class StepStatusCommand : Subcommand("step-status", "Show the steps that an entry owns") {
-    private val entry by option(ArgType.String, "entry", description = "Operations address of the entry (or GUAVASHORE_ENTRY)")
+    private val entry by option(
+        ArgType.String,
+        "entry",
+        description = "Operations address of the entry (or GUAVASHORE_ENTRY)",
+    )
     private val json by option(ArgType.Boolean, "json", description = "Print JSON").default(false)
 
     override fun execute() {
         val address = entry ?: System.getenv("GUAVASHORE_ENTRY")
         if (address == null) fail(ExitCode.INVALID, "no entry given; use --entry IP:PORT or set GUAVASHORE_ENTRY")
         val text = HttpClient(CIO).use { client -> runBlocking { client.get("http://$address/status").bodyAsText() } }
-        val steps = prettyJson.parseToJsonElement(text).jsonObject["steps"]?.jsonArray.orEmpty()
+        val steps =
+            prettyJson
+                .parseToJsonElement(text)
+                .jsonObject["steps"]
+                ?.jsonArray
+                .orEmpty()
         if (json) return println(prettyJson.encodeToString(steps.toList()))
         if (steps.isEmpty()) println("no steps")
         steps.forEach { println(describe(it)) }
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
@@ -15,14 +15,13 @@
 import io.guavashore.calls.HttpEngineClient
 import io.guavashore.calls.HttpPlainClient
 import io.guavashore.calls.SuspectGuard
+import io.guavashore.calls.targetHttpClient
 import io.guavashore.metrics.Metrics
 import io.guavashore.metrics.OperationsServer
 import io.guavashore.samples.StepRegistry
 import io.guavashore.settings.NodeSettings
 import io.guavashore.usage.UsageLedger
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.endpoint
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -51,9 +50,10 @@
     /** Runs until SIGTERM, then finishes the calls that are open and leaves. */
     suspend fun run() =
         resourceScope {
-            val scope = install({ CoroutineScope(SupervisorJob() + Dispatchers.Default) }) { it, _ -> it.cancel() }
-            val selector = install({ SelectorManager(Dispatchers.IO) }) { it, _ -> it.close() }
-            val client = install({ httpClient() }) { it, _ -> it.close() }
+            val scope =
+                install({ CoroutineScope(SupervisorJob() + Dispatchers.Default) }) { opened, _ -> opened.cancel() }
+            val selector = install({ SelectorManager(Dispatchers.IO) }) { opened, _ -> opened.close() }
+            val client = install({ targetHttpClient() }) { opened, _ -> opened.close() }
             Runtime.getRuntime().addShutdownHook(Thread(::stopAndWait))
             try {
                 serve(scope, selector, client)
@@ -86,7 +86,17 @@
         link = StewardLink(settings.vm, incarnation, settings.entryStewards, state, guard, ledger, clock, selector)
         val gate = Gate(state)
         val services =
-            EntryServices(gate, state, metrics, clock, wallClock, ledger, HttpPlainClient(client)::call, ::newAttemptId)
+            EntryServices(
+                gate,
+                state,
+                metrics,
+                clock,
+                wallClock,
+                ledger,
+                HttpPlainClient()::call,
+                ::newAttemptId,
+                link::wake,
+            )
         val registry = StepRegistry(clock)
         val steps = StepRunner(registry, services, scope)
         val front = HttpFront(settings.entryListen, services, StepRoutes(services, registry, steps))
@@ -180,21 +190,6 @@
 
     private fun newAttemptId() = AttemptId("${settings.vm}-${incarnation.value}-${attempts.incrementAndGet()}")
 
-    private fun httpClient() =
-        HttpClient(CIO) {
-            expectSuccess = false
-            followRedirects = false
-            engine {
-                requestTimeout = 0
-                maxConnectionsCount = MAX_CONNECTIONS
-                endpoint {
-                    maxConnectionsPerRoute = MAX_CONNECTIONS
-                    connectTimeout = CONNECT_TIMEOUT_MS
-                    keepAliveTime = KEEP_ALIVE_MS
-                }
-            }
-        }
-
     private fun stopAndWait() {
         stop.complete(Unit)
         kotlinx.coroutines.runBlocking { stopped.await() }
@@ -204,8 +199,5 @@
         const val HOUSEKEEPING_MS = 250L
         const val DRAIN_POLL_MS = 50L
         const val BALANCER_MS = 1_000L
-        const val MAX_CONNECTIONS = 20_000
-        const val CONNECT_TIMEOUT_MS = 500L
-        const val KEEP_ALIVE_MS = 5_000L
     }
 }
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/Gate.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/Gate.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
 import io.guavashore.api.KeyId
 import io.guavashore.api.OrganisationId
 import io.guavashore.api.Refusal
@@ -33,8 +34,8 @@
     val caller: Caller,
 )
 
-/** Organisation under which calls to open routes are queued. */
-internal val openOrganisation = OrganisationId("open")
+/** Caller of open routes, under whose name such calls are queued. */
+private val openCaller = Caller(OrganisationId("open"), key = null)
 
 /** Gate of one entry. */
 internal class Gate(
@@ -53,9 +54,8 @@
         val declared =
             runtime.declaration.service(service) ?: return unknown("service \"$service\" is not known in team $team")
         val pool = runtime.pools[declared.pool] ?: return unknown("service \"$service\" has no pool")
-        if (declared.open) return Ok(Admitted(runtime, declared, pool, Caller(openOrganisation, key = null)))
-        val caller = authenticate(runtime, authorization).getOrElse { return Err(it) }
-        return Ok(Admitted(runtime, declared, pool, caller))
+        val caller = if (declared.open) Ok(openCaller) else authenticate(runtime, authorization)
+        return caller.map { Admitted(runtime, declared, pool, it) }
     }
 
     fun team(id: TeamId): Result<TeamRuntime, Refusal> {
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/PlainRoute.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/PlainRoute.kt
@@ -1,6 +1,6 @@
 /*
- * `/v1/{team}/{service}/call/...`: calls of plain services. The answer is read whole before any of it is passed on, so
- * a caller never gets half of one.
+ * `/v1/{team}/{service}/call/...`: calls of plain services. The answer is read whole before any of it is passed on,
+ * so a caller never gets half of one.
  */
 package io.guavashore.entry
 
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/StepRoutes.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/StepRoutes.kt
@@ -103,14 +103,14 @@
         val answer =
             registry.withStep(authorised.key) { step ->
                 val pulled = step.pull(request, services.clock())
-                val acknowledged = step.takeAcknowledged()
-                countDelivered(authorised, UsageAmount(samples = acknowledged.samples, tokens = acknowledged.tokens))
+                val handedOver = step.takeHandedOver()
+                countDelivered(authorised, UsageAmount(samples = handedOver.samples, tokens = handedOver.tokens))
                 pulled
             } ?: Err(StepError.Unknown)
         return answer.getOrElse { return Err(it.toRefusal()) }.let { Ok(it) }
     }
 
-    /** Samples count as delivered once the trainer says that it has them. */
+    /** Reported at once, so that hardly anything is lost if this entry dies right after the hand-over. */
     private fun countDelivered(
         authorised: Authorised,
         amount: UsageAmount,
@@ -118,6 +118,7 @@
         if (amount.isZero()) return
         val declaration = authorised.team.declaration
         services.countUsage(declaration, authorised.trainer.organisation, amount)
+        services.reportSoon()
     }
 
     private fun authorise(call: ApplicationCall): Result<Authorised, Refusal> {
--- a/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseMachine.kt
+++ b/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseMachine.kt
@@ -3,7 +3,8 @@
  *
  * The holder counts its term from before it sent the write that renewed it. A challenger counts a whole term and a
  * margin from after it first read the present version, on its own monotonic clock. Both start from opposite
- * sides of the write's effect, so the holder's term has always ended before a challenger may write: no clock is shared.
+ * sides of the write's effect, so the holder's term has always ended before a challenger may write: no clock is
+ * shared.
  */
 package io.guavashore.leases
 
--- a/guavashore-platform/src/main/kotlin/io/guavashore/platform/HttpPlatform.kt
+++ b/guavashore-platform/src/main/kotlin/io/guavashore/platform/HttpPlatform.kt
@@ -1,6 +1,6 @@
 /*
- * Adapter to the platform over HTTP with JSON bodies. The platform's own wire format is not known yet; this is the one
- * that the stand-in serves, and the only place to change when it is.
+ * Adapter to the platform over HTTP with JSON bodies. The platform's own wire format is not known yet; this is the
+ * one that the stand-in serves, and the only place to change when it is.
  */
 package io.guavashore.platform
 
--- a/guavashore-samples/src/main/kotlin/io/guavashore/samples/StepState.kt
+++ b/guavashore-samples/src/main/kotlin/io/guavashore/samples/StepState.kt
@@ -1,6 +1,6 @@
 /*
- * State of one step on the entry that owns it. The trainer is the only durable party: what it has received decides what is
- * still to be done, so a lost step costs work but never a sample twice.
+ * State of one step on the entry that owns it. The trainer is the only durable party: what it has received decides
+ * what is still to be done, so a lost step costs work but never a sample twice.
  */
 package io.guavashore.samples
 
@@ -21,16 +21,11 @@
     val maxDuplicatedShare: Double = 0.05,
 )
 
-/** Samples that a trainer has confirmed to have. */
-data class Acknowledged(
+/** Samples that were handed over for the first time. */
+data class HandedOver(
     val samples: Long = 0,
     val tokens: Long = 0,
-) {
-    internal fun plus(
-        samples: Long,
-        tokens: Int,
-    ) = Acknowledged(this.samples + samples, this.tokens + tokens)
-}
+)
 
 /** State machine of a step. Not thread-safe. */
 class StepState(
@@ -69,7 +64,8 @@
     private var droppedUnlabelled = 0
     private var duplicated = 0
     private var wastedTokens = 0L
-    private var acknowledged = Acknowledged()
+    private var handedOver = HandedOver()
+    private val counted = HashSet<GroupId>()
     private val durationsMs = ArrayList<Long>()
     private val startedAtMs = nowMs
 
@@ -84,8 +80,8 @@
         byId = entries.values.flatten().associateBy { it.id }
     }
 
-    /** What the trainer has confirmed to have received since the last call. */
-    fun takeAcknowledged(): Acknowledged = acknowledged.also { acknowledged = Acknowledged() }
+    /** What was handed over since the last call; handing a group over again, after a lost answer, does not count. */
+    fun takeHandedOver(): HandedOver = handedOver.also { handedOver = HandedOver() }
 
     /** True once the trainer has every group. */
     fun isComplete(): Boolean = entries.isEmpty()
@@ -179,6 +175,7 @@
         dropStale()
         val whole = entries.filterValues { group -> group.all { it.phase == Phase.FINISHED } }
         val groups = whole.entries.take(pull.maxGroups).map { (id, group) -> SampleGroup(id, group.map(::sample)) }
+        countHandedOver(groups)
         return Ok(PullAnswer(groups, complete = isComplete()))
     }
 
@@ -210,12 +207,17 @@
         nowMs: Long,
     ): Long? = if (finished == 0) null else (nowMs - startedAtMs) * (total - finished) / finished
 
+    private fun countHandedOver(groups: List<SampleGroup>) {
+        val samples = groups.filter { counted.add(it.id) }.flatMap { it.samples }
+        handedOver =
+            HandedOver(
+                samples = handedOver.samples + samples.size,
+                tokens = handedOver.tokens + samples.sumOf { it.tokens.size },
+            )
+    }
+
     private fun forget(received: Set<GroupId>) {
-        val gone = entries.filterKeys { it in received }
-        gone.values.flatten().forEach { entry ->
-            acknowledged = acknowledged.plus(samples = 1, tokens = entry.generation?.tokens?.size ?: 0)
-        }
-        entries.keys.removeAll(gone.keys)
+        entries.keys.removeAll(received)
     }
 
     private fun dropStale() {
--- a/guavashore-samples/src/test/kotlin/io/guavashore/samples/StepStateTest.kt
+++ b/guavashore-samples/src/test/kotlin/io/guavashore/samples/StepStateTest.kt
@@ -77,6 +77,15 @@
             assertTrue(step.pull(pull(received = setOf(GroupId("g0"), GroupId("g1"))), 9).get()!!.complete)
         }
 
+        @Test
+        fun `counts each group once, at its first hand-over`() {
+            val step = step().apply { finishAll() }
+            repeat(2) { step.pull(pull(), 1) }
+            assertEquals(HandedOver(samples = 4, tokens = 8), step.takeHandedOver())
+            step.pull(pull(received = setOf(GroupId("g0"))), 2)
+            assertEquals(HandedOver(), step.takeHandedOver())
+        }
+
         @Test
         fun `starts only what a trainer with a new owner still lacks`() {
             val step = step(request(epoch = 2, received = setOf(GroupId("g0"))))
--- a/guavashore-settings/src/main/kotlin/io/guavashore/settings/NodeSettings.kt
+++ b/guavashore-settings/src/main/kotlin/io/guavashore/settings/NodeSettings.kt
@@ -1,6 +1,6 @@
 /*
- * Settings of a VM's processes: who and where they are and what they talk to. Declared configuration is not here but in
- * the store.
+ * Settings of a VM's processes: who and where they are and what they talk to. Declared configuration is not here
+ * but in the store.
  */
 package io.guavashore.settings
 
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/DemoCallers.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/DemoCallers.kt
@@ -1,6 +1,6 @@
 /*
- * Callers of the demonstration. Like the balancer they turn to the next entry when one does not answer; orders, which may
- * not be repeated, are given up then.
+ * Callers of the demonstration. Like the balancer they turn to the next entry when one does not answer; orders,
+ * which may not be repeated, are given up then.
  */
 package io.guavashore.standin
 
@@ -12,6 +12,7 @@
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
 import kotlinx.coroutines.delay
@@ -95,7 +96,13 @@
     ) {
         val response = attempt { postGenerate(entry, prompt) }
         val body = response?.let { attempt { it.bodyAsText() } }
-        count(response?.status?.isSuccess(), body) { isRight(it, prompt) }
+        // A stream without its last line is not whole, and the caller can tell: broken like a lost connection.
+        val ended =
+            body?.takeIf {
+                response.status != HttpStatusCode.OK || """"done":true""" in it ||
+                    "problem\":{" in it
+            }
+        count(response?.status?.isSuccess(), ended) { isRight(it, prompt) }
     }
 
     private suspend fun postGenerate(
@@ -128,7 +135,10 @@
             success == null || body == null -> tally.broken.incrementAndGet()
             !success -> tally.refused.incrementAndGet()
             isRight(body) -> tally.callsOk.incrementAndGet()
-            else -> tally.wrong.incrementAndGet()
+            else -> {
+                println("wrong answer: $body")
+                tally.wrong.incrementAndGet()
+            }
         }
     }
 
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/DemoDriver.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/DemoDriver.kt
@@ -1,6 +1,7 @@
 /*
- * Demonstration: callers of a price service, of orders and of a model, and a trainer with one step, while new weights come
- * out and the entry that owns the step is killed half way. Every answer is checked against what it must be.
+ * Demonstration: callers of a price service, of orders and of a model, and a trainer with one step, while new
+ * weights come out and the entry that owns the step is killed half way. Every answer is checked against what it
+ * must be.
  */
 package io.guavashore.standin
 
@@ -102,10 +103,12 @@
         println("calls: ${tally.callsOk} answered, ${tally.refused} refused, ${tally.broken} broken by the kill")
         println("orders: ${tally.confirmedOrders.size} confirmed, $repeated run twice, $lost confirmed but not run")
         println(
-            "step: ${tally.delivered} samples of weight versions ${tally.versions.sorted()}, ${tally.moves} moves to another entry",
+            "step: ${tally.delivered} samples of weights ${tally.versions.sorted()}, " +
+                "${tally.moves} moves to another entry",
         )
         println(
-            "usage: ${truth?.billedSamples()} samples billed, ${truth?.usage?.size} reports, ${truth?.conflictingReports} conflicting",
+            "usage: ${truth?.billedSamples()} samples billed, " +
+                "${truth?.usage?.size} reports, ${truth?.conflictingReports} conflicting",
         )
         println("orders to the platform by zone and fencing number: ${truth?.ordersByFencing}")
         val clean =
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/DemoTrainer.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/DemoTrainer.kt
@@ -154,18 +154,15 @@
     private fun stepUrl() = "${entries[owner]}/v1/demo/trainers/trainer/steps/step-1"
 
     private fun stepBody(): String {
-        val all =
-            List(groups) {
-                "g$it"
-            }.joinToString(
-                ",",
-            ) { """{"id":"$it","prompt":${promptOf(it)},"samples":$SAMPLES_PER_GROUP,"max_tokens":$TOKENS}""" }
-        return """{"step":"step-1","owner_epoch":$ownerEpoch,"deadline_ms":0,"stated_version":${version.get()},"groups":[$all],"received":${names(
-            received,
-        )}}"""
+        val all = List(groups) { groupBody("g$it") }.joinToString(",")
+        val owner = """"step":"step-1","owner_epoch":$ownerEpoch,"deadline_ms":0"""
+        return """{$owner,"stated_version":${version.get()},"groups":[$all],"received":${names(received)}}"""
     }
 
-    private fun promptOf(group: String) = listOf(group.removePrefix("g").toInt() + 1, 2, 3)
+    private fun groupBody(id: String) =
+        """{"id":"$id","prompt":${promptOf(id)},"samples":$SAMPLES_PER_GROUP,"max_tokens":$TOKENS}"""
+
+    private fun promptOf(group: String) = listOf(group.removePrefix("g").toInt() + 1, 1, 2)
 
     private fun names(all: Collection<String>) = all.joinToString(",", "[", "]") { "\"$it\"" }
 
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinEngine.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinEngine.kt
@@ -1,6 +1,6 @@
 /*
- * Stand-in of a model engine: continuous batching by ticks, one token per running sequence and tick, up to a number of
- * sequences at once; more wait inside, as real engines admit requests as they come.
+ * Stand-in of a model engine: continuous batching by ticks, one token per running sequence and tick, up to a number
+ * of sequences at once; more wait inside, as real engines admit requests as they come.
  */
 package io.guavashore.standin
 
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinMain.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinMain.kt
@@ -1,5 +1,6 @@
 /*
- * Binary of the stand-ins: `platform` serves the platform and its targets, `demo` runs the demonstration against entries.
+ * Binary of the stand-ins: `platform` serves the platform and its targets, `demo` runs the demonstration against
+ * entries.
  */
 package io.guavashore.standin
 
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinPlatform.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinPlatform.kt
@@ -1,6 +1,6 @@
 /*
- * Stand-in of the platform: object store, order interface, usage intake, VM list and weight store over HTTP, with switches
- * for faults under /admin.
+ * Stand-in of the platform: object store, order interface, usage intake, VM list and weight store over HTTP, with
+ * switches for faults under /admin.
  */
 package io.guavashore.standin
 
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/ConfigurationRelay.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/ConfigurationRelay.kt
@@ -1,6 +1,6 @@
 /*
- * Brings accepted declarations from the platform's store to the facts. Two stewards of each zone watch; the others hear
- * from them, so that the store's calls do not grow with the fleet.
+ * Brings accepted declarations from the platform's store to the facts. Two stewards of each zone watch; the others
+ * hear from them, so that the store's calls do not grow with the fleet.
  */
 package io.guavashore.steward
 
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/Coordinator.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/Coordinator.kt
@@ -9,12 +9,9 @@
 import io.guavashore.admission.Share
 import io.guavashore.admission.ShareAllocator
 import io.guavashore.admission.ShareLimits
-import io.guavashore.api.Declaration
 import io.guavashore.api.FencingNumber
 import io.guavashore.api.MonotonicClock
-import io.guavashore.api.VmId
 import io.guavashore.membership.Fact
-import io.guavashore.membership.FactTable
 import io.guavashore.membership.FactVersion
 import io.guavashore.platform.Platform
 import io.guavashore.usage.UsageReporter
@@ -29,9 +26,7 @@
     private val fencingNumber: FencingNumber,
     private val platform: Platform,
     private val reporter: UsageReporter,
-    private val facts: FactTable,
-    private val declarations: () -> List<Declaration>,
-    private val entries: () -> List<VmId>,
+    private val state: StewardState,
     private val clock: MonotonicClock,
 ) {
     private val allocator = ShareAllocator(startedAtMs = clock())
@@ -42,17 +37,17 @@
     /** One round of all duties. */
     suspend fun step() {
         publishVms()
-        reporter.step(declarations().map { UsageSchedule(it.team, it.usageWindowMs) })
+        reporter.step(state.declarations().map { UsageSchedule(it.team, it.usageWindowMs) })
     }
 
     /** Shares of organisations' limits for an entry. */
     fun report(request: ControlMessage.ShareRequest): Map<ResourceId, Share> {
         val totals =
-            declarations().flatMap { team ->
+            state.declarations().flatMap { team ->
                 team.organisations.flatMap { SharedResources.limits(team.team, it).toList() }
             }
         return synchronized(allocator) {
-            allocator.report(request.vm, request.demands, ShareLimits(totals.toMap(), entries()), clock())
+            allocator.report(request.vm, request.demands, ShareLimits(totals.toMap(), state.listedEntries()), clock())
         }
     }
 
@@ -63,7 +58,7 @@
             val content = Json.encodeToString(rows.sortedBy { it.vm })
             if (content == publishedVms) return@onSuccess
             publishedVms = content
-            facts.offer(Fact(FactVersion(FactKeys.VMS, fencingNumber.value, ++vmsSequence), content))
+            state.facts.offer(Fact(FactVersion(FactKeys.VMS, fencingNumber.value, ++vmsSequence), content))
         }
     }
 
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/MembershipService.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/MembershipService.kt
@@ -88,14 +88,20 @@
         for (datagram in socket.incoming) {
             val bytes = datagram.packet.readByteArray()
             this.bytes.addAndGet(bytes.size.toLong())
-            val message = decodeBody(MemberMessage.serializer(), bytes).getOrElse { continue }
-            val source = datagram.address as? InetSocketAddress ?: continue
-            val endpoint = Endpoint(source.hostname, source.port)
-            send(synchronized(membership) { membership.receive(message, endpoint, clock()) })
-            val missing = facts.missing(message.gossip.facts)
-            if (missing.isNotEmpty() && fetching.add(message.from.control)) {
-                scope.launch { fetch(message.from.control, missing) }
-            }
+            val message = decodeBody(MemberMessage.serializer(), bytes).getOrElse { null }
+            val source = datagram.address as? InetSocketAddress
+            if (message != null && source != null) receive(message, Endpoint(source.hostname, source.port))
+        }
+    }
+
+    private suspend fun receive(
+        message: MemberMessage,
+        source: Endpoint,
+    ) {
+        send(synchronized(membership) { membership.receive(message, source, clock()) })
+        val missing = facts.missing(message.gossip.facts)
+        if (missing.isNotEmpty() && fetching.add(message.from.control)) {
+            scope.launch { fetch(message.from.control, missing) }
         }
     }
 
--- /dev/null
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/StewardState.kt
@@ -0,0 +1,73 @@
+/*
+ * What a steward knows from facts: declarations, listed VMs, who holds which duty, and when the platform was last
+ * heard of.
+ */
+package io.guavashore.steward
+
+import io.guavashore.api.Declaration
+import io.guavashore.api.MonotonicClock
+import io.guavashore.api.TeamSnapshot
+import io.guavashore.api.VmId
+import io.guavashore.configuration.AdoptedConfiguration
+import io.guavashore.leases.HeldLease
+import io.guavashore.membership.Fact
+import io.guavashore.membership.FactTable
+import io.guavashore.membership.FactVersion
+import io.guavashore.platform.VmRow
+import io.guavashore.platform.VmState
+import io.guavashore.wire.FactKeys
+import kotlinx.serialization.json.Json
+
+/** Knowledge of one steward. Thread-safe. */
+internal class StewardState(
+    private val self: VmId,
+    private val clock: MonotonicClock,
+) {
+    val adopted = AdoptedConfiguration()
+    val facts = FactTable(::onFact)
+
+    @Volatile
+    private var pulseAtMs = clock()
+
+    /** The platform's list of VMs as last heard. */
+    @Volatile
+    var vmRows: List<VmRow> = emptyList()
+
+    fun declarations(): List<Declaration> = adopted.all().map { it.declaration }
+
+    /** VMs whose entries may claim shares, by the platform's list. */
+    fun listedEntries(): List<VmId> = vmRows.filter { it.state == VmState.LIVE }.map { it.vm }.sorted()
+
+    /** True if neither this steward nor any that it hears of has reached the platform lately. */
+    fun isIsolated(): Boolean = clock() - pulseAtMs > ISOLATED_AFTER_MS
+
+    /** Holder of [duty], a zone's name or the coordinator's. */
+    fun leaderOf(duty: String): VmId? = facts[FactKeys.leader(duty)]?.content?.let(::VmId)
+
+    /** Tells everybody that this steward holds [duty] under [lease]. */
+    fun announce(
+        duty: String,
+        lease: HeldLease,
+    ) {
+        facts.offer(Fact(FactVersion(FactKeys.leader(duty), lease.fencingNumber.value, sequence = 0), self.value))
+    }
+
+    /** True if a later holder of [duty] than that of [lease] is known. */
+    fun isSucceeded(
+        duty: String,
+        lease: HeldLease,
+    ): Boolean = (facts[FactKeys.leader(duty)]?.version?.term ?: 0) > lease.fencingNumber.value
+
+    private fun onFact(fact: Fact) {
+        val key = fact.version.key
+        when {
+            key.startsWith(FactKeys.PULSE) -> pulseAtMs = clock()
+            key.startsWith(FactKeys.CONFIGURATION) -> adopted.offer(Json.decodeFromString<TeamSnapshot>(fact.content))
+            key == FactKeys.VMS -> vmRows = Json.decodeFromString(fact.content)
+        }
+    }
+
+    private companion object {
+        const val ISOLATED_AFTER_MS = 20_000L
+    }
+}
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/ZoneController.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/ZoneController.kt
@@ -1,6 +1,6 @@
 /*
- * Duties of the steward that holds its zone's lease: the table of targets, their scaling and draining, weights, shares of
- * their slots, and the zone's usage.
+ * Duties of the steward that holds its zone's lease: the table of targets, their scaling and draining, weights,
+ * shares of their slots, and the zone's usage.
  */
 package io.guavashore.steward
 
--- a/guavashore-targets/src/main/kotlin/io/guavashore/targets/OrderSender.kt
+++ b/guavashore-targets/src/main/kotlin/io/guavashore/targets/OrderSender.kt
@@ -1,6 +1,7 @@
 /*
- * Sends start and stop orders, one at a time. The intent of an order is recorded in the lease before it is sent, and the
- * order is sent only if the lease outlasts the order's own timeout, so that a successor can settle what was under way.
+ * Sends start and stop orders, one at a time. The intent of an order is recorded in the lease before it is sent,
+ * and the order is sent only if the lease outlasts the order's own timeout, so that a successor can settle what was
+ * under way.
  */
 package io.guavashore.targets
 
@@ -77,8 +78,9 @@
     }
 
     /**
-     * Settles an intent that a predecessor or a lost answer left open. The order can't arrive any more: its sender closed
-     * the connection at the order's timeout, before its own lease ended. Its effect, if any, shows in the list.
+     * Settles an intent that a predecessor or a lost answer left open. The order can't arrive any more: its sender
+     * closed the connection at the order's timeout, before its own lease ended. Its effect, if any, shows in the
+     * list.
      */
     suspend fun settle(): Boolean {
         val intent = lease.held()?.record?.intent ?: return true
--- a/guavashore-usage/src/main/kotlin/io/guavashore/usage/SealedWindow.kt
+++ b/guavashore-usage/src/main/kotlin/io/guavashore/usage/SealedWindow.kt
@@ -49,8 +49,8 @@
 ) = ObjectPath("${sealedPrefix(team)}$windowStartMs")
 
 /**
- * Figures of the window that starts at the report's start, from all [counters] known now and the windows [sealed] before.
- * What has come for those since they were sealed becomes adjustments.
+ * Figures of the window that starts at the report's start, from all [counters] known now and the windows [sealed]
+ * before. What has come for those since they were sealed becomes adjustments.
  */
 fun sealWindow(
     empty: UsageReport,
--- a/guavashore-weights/src/main/kotlin/io/guavashore/weights/RolloutPlan.kt
+++ b/guavashore-weights/src/main/kotlin/io/guavashore/weights/RolloutPlan.kt
@@ -1,6 +1,6 @@
 /*
- * Roll-out of a new weight version to the targets of a pool, a part at a time so that the pool goes on serving. What a
- * target runs is what it says, never what it was told.
+ * Roll-out of a new weight version to the targets of a pool, a part at a time so that the pool goes on serving.
+ * What a target runs is what it says, never what it was told.
  */
 package io.guavashore.weights
 
