Prove promises over real processes; a planned stop no longer cuts streams

Cause: with SIGTERM an entry cut its open streams after about a second, although it waited for them itself. The HTTP server library adds a shutdown hook of its own that stops the engine at once. Ruled out: the drain loop (its count of open calls was right), the drain timeout (600 s). Change: StopSignal switches those hooks off and holds the process until the drain is over; entry and steward had the same code twice, now once.

Also: a failed attempt of any kind that may have run asks whether the target still lives before its request is cleared as a suspect, not only a broken connection. The stand-in engine answered 404 to a poison request instead of breaking off; that was the stand-in's fault.

--- /dev/null
+++ b/guavashore-acceptance/src/test/kotlin/io/guavashore/acceptance/FailureAcceptanceTest.kt
@@ -0,0 +1,144 @@
+package io.guavashore.acceptance
+
+import io.guavashore.api.TargetId
+import io.guavashore.standin.POISON_TOKEN
+import io.guavashore.standin.StandinPlainService
+import io.guavashore.testing.StoreFault
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.TestInstance
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class FailureAcceptanceTest {
+    private lateinit var system: TestSystem
+
+    @BeforeAll
+    fun start() {
+        system = TestSystem()
+        system.applyAndWait()
+    }
+
+    @AfterAll
+    fun stop() = system.close()
+
+    private fun assertOrdersNeverGoBack() {
+        val numbers =
+            system.fleet.seen
+                .toList()
+                .filter { it.zone == "az-1" }
+                .map { it.fencingNumber }
+        assertEquals(numbers.sorted(), numbers, "orders must not come from an older holder after a newer one")
+    }
+
+    @Test
+    fun `an order whose target crashes runs once and its outcome is said to be unknown`() {
+        val answer = system.order(system.vms[0], "${StandinPlainService.CRASH_ORDER}-1")
+        assertEquals(502, answer.statusCode(), answer.body())
+        assertTrue(
+            """"kind":"outcome_unknown"""" in answer.body() && """"not_run":false""" in answer.body(),
+            answer.body(),
+        )
+        assertEquals(1, system.fleet.book.all()["${StandinPlainService.CRASH_ORDER}-1"])
+        await("a new service", 30_000) { system.order(system.vms[0], "after").statusCode() == 200 }
+    }
+
+    @Test
+    fun `a poison request costs two targets at most, through whichever entry it comes`() {
+        await("two engines", 30_000) { system.fleet.engines().count { it.isUp } >= 2 }
+        val before = system.fleet.engines().toSet()
+        repeat(6) { round ->
+            val vm = system.vms[round % system.vms.size]
+            val answer = system.generate(vm, 5, prompt = listOf(POISON_TOKEN, 7))
+            if (round >= 2) assertEquals(422, answer.statusCode(), answer.body())
+            Thread.sleep(1_000)
+        }
+        val lost = before.count { !it.isUp } + system.fleet.engines().count { it !in before && !it.isUp }
+        assertTrue(lost <= 2, "lost $lost targets")
+        await("innocent calls", 30_000) { system.generate(system.vms[0], 5).statusCode() == 200 }
+    }
+
+    @Test
+    fun `a drained target is stopped only after its streams, which stay whole`() {
+        await("two engines", 30_000) { system.fleet.engines().count { it.isUp } >= 2 }
+        val streams = List(8) { system.stream(system.vms[it % 2], tokens = 1_500, prompt = listOf(it + 1)) }
+        await("streams", 10_000) { streams.all { it.lines.isNotEmpty() } }
+        val busiest = system.fleet.engines().maxBy { it.state().running }
+        system.apply { it.copy(drainedTargets = it.drainedTargets + TargetId(busiest.id.value)) }
+        Thread.sleep(3_000)
+        val running = busiest.state().running
+        repeat(20) { system.generate(system.vms[it % 2], 1) }
+        assertTrue(busiest.state().running <= running, "a leaving target got new work")
+        await({
+            "whole streams: ${streams.map { "${it.lines.size} ${it.isEnded} ${it.lines.last()}" }}"
+        }, 60_000) { streams.all { it.isWhole } }
+        await("stop of the drained target", 20_000) { !busiest.isUp }
+    }
+
+    @Test
+    fun `an entry that is stopped finishes its streams first`() {
+        val vm = system.vms[1]
+        val stream = system.stream(vm, tokens = 800)
+        await("the stream", 10_000) { stream.lines.isNotEmpty() }
+        system.signal("entry", vm, "TERM")
+        await({
+            "the whole stream, at ${stream.lines.size}, ${stream.isEnded}, ${stream.lines.last()}"
+        }, 30_000) { stream.isWhole }
+        assertTrue(system.exited("entry", vm, withinS = 10))
+        system.startEntry(vm)
+        await("the new entry", 30_000) { system.generate(vm, 1).statusCode() == 200 }
+    }
+
+    @Test
+    fun `calls go on through an outage of the store longer than a lease, and an entry that starts in it serves`() {
+        val ordersBefore = system.fleet.seen.size
+        system.platform.memory.fault = StoreFault.DOWN
+        try {
+            val vm = system.vms[1]
+            system.signal("entry", vm, "KILL")
+            system.exited("entry", vm, withinS = 10)
+            system.startEntry(vm)
+            await("the entry that starts in the outage", 30_000) { system.generate(vm, 1).statusCode() == 200 }
+            val untilMs = System.currentTimeMillis() + 15_000
+            while (System.currentTimeMillis() < untilMs) {
+                system.vms.forEach { assertEquals(200, system.generate(it, 3).statusCode()) }
+                Thread.sleep(200)
+            }
+            assertTrue(system.fleet.seen.size - ordersBefore <= 1, "orders were sent without a lease")
+        } finally {
+            system.platform.memory.fault = StoreFault.NONE
+        }
+        val revision = system.apply()
+        system.vms.forEach { vm ->
+            await("revision $revision on ${vm.name}", 15_000) { """"inForce":$revision""" in system.status(vm) }
+        }
+    }
+
+    @Test
+    fun `a frozen holder of the lease is succeeded, and its orders never come after its successor's`() {
+        val holder = system.vms.first { """"zoneLease":null""" !in system.status(it) }
+        val other = system.vms.first { it != holder }
+        system.signal("steward", holder, "STOP")
+        try {
+            await("a successor", 40_000) { """"zoneLease":null""" !in system.status(other) }
+            system.fleet.crash(
+                system.fleet
+                    .engines()
+                    .first { it.isUp }
+                    .id,
+            )
+            await("an order of the successor", 20_000) {
+                system.fleet.seen
+                    .last()
+                    .fencingNumber > 1
+            }
+        } finally {
+            system.signal("steward", holder, "CONT")
+        }
+        Thread.sleep(3_000)
+        assertOrdersNeverGoBack()
+        system.vms.forEach { vm -> await("calls of ${vm.name}", 20_000) { system.generate(vm, 1).statusCode() == 200 } }
+    }
+}
--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/CallRunner.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/CallRunner.kt
@@ -115,7 +115,7 @@
         plan: CallPlan,
         breakPoint: BreakPoint,
     ) {
-        val broke = breakPoint == BreakPoint.SENT || breakPoint == BreakPoint.ANSWERING
-        if (broke && !isUp(target)) guard.crashed(target.id, plan.fingerprint)
+        val mayBeCrash = breakPoint.mayHaveRun && breakPoint != BreakPoint.TOO_LONG
+        if (mayBeCrash && !isUp(target)) guard.crashed(target.id, plan.fingerprint)
     }
 }
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
@@ -18,12 +18,12 @@
 import io.guavashore.calls.targetHttpClient
 import io.guavashore.metrics.Metrics
 import io.guavashore.metrics.OperationsServer
+import io.guavashore.metrics.StopSignal
 import io.guavashore.samples.StepRegistry
 import io.guavashore.settings.NodeSettings
 import io.guavashore.usage.UsageLedger
 import io.ktor.client.HttpClient
 import io.ktor.network.selector.SelectorManager
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -44,8 +44,7 @@
     private val incarnation = Incarnation(wallClock())
     private val attempts = AtomicLong()
     private val metrics = Metrics()
-    private val stop = CompletableDeferred<Unit>()
-    private val stopped = CompletableDeferred<Unit>()
+    private val stop = StopSignal()
 
     /** Runs until SIGTERM, then finishes the calls that are open and leaves. */
     suspend fun run() =
@@ -54,11 +53,10 @@
                 install({ CoroutineScope(SupervisorJob() + Dispatchers.Default) }) { opened, _ -> opened.cancel() }
             val selector = install({ SelectorManager(Dispatchers.IO) }) { opened, _ -> opened.close() }
             val client = install({ targetHttpClient() }) { opened, _ -> opened.close() }
-            Runtime.getRuntime().addShutdownHook(Thread(::stopAndWait))
             try {
                 serve(scope, selector, client)
             } finally {
-                stopped.complete(Unit)
+                stop.finished()
             }
         }
 
@@ -190,11 +188,6 @@
 
     private fun newAttemptId() = AttemptId("${settings.vm}-${incarnation.value}-${attempts.incrementAndGet()}")
 
-    private fun stopAndWait() {
-        stop.complete(Unit)
-        kotlinx.coroutines.runBlocking { stopped.await() }
-    }
-
     private companion object {
         const val HOUSEKEEPING_MS = 250L
         const val DRAIN_POLL_MS = 50L
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/DemoDriver.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/DemoDriver.kt
@@ -133,7 +133,7 @@
         const val CALLERS = 6
         const val READY_TRIES = 300
         const val READY_POLL_MS = 200L
-        const val USAGE_TRIES = 200
+        const val USAGE_TRIES = 90
         const val AFTER_STEP_MS = 500L
         const val WEIGHTS_EVERY_MS = 1_500L
     }
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinEngine.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinEngine.kt
@@ -19,6 +19,7 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.routing
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -137,7 +138,7 @@
 
     private fun Application.routes() {
         routing {
-            get("/health") { call.respondText("ok") }
+            get("/health") { if (isUp) call.respondText("ok") else awaitCancellation() }
             get("/state") { call.respondText(standinJson.encodeToString(state()), ContentType.Application.Json) }
             post("/load") { load(call) }
             post("/generate") { generate(call) }
@@ -166,7 +167,10 @@
         val request = standinJson.decodeFromString<StandinGenerate>(call.receiveText())
         val sequence = Sequence(request)
         sequences += sequence
-        if (POISON_TOKEN in request.prompt) return crash()
+        if (POISON_TOKEN in request.prompt) {
+            crash()
+            awaitCancellation()
+        }
         try {
             call.respondTextWriter(ContentType.parse("application/x-ndjson")) {
                 for (line in sequence.out) {
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinFleet.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinFleet.kt
@@ -53,6 +53,8 @@
 
     fun engines(): List<StandinEngine> = running.values.mapNotNull { it.target as? StandinEngine }
 
+    fun plainServices(): List<StandinPlainService> = running.values.mapNotNull { it.target as? StandinPlainService }
+
     /** False if a newer fencing number was seen in the zone. */
     fun admits(
         zone: ZoneId,
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinPlainService.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinPlainService.kt
@@ -8,16 +8,20 @@
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.call
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.request.header
 import io.ktor.server.request.receiveText
+import io.ktor.server.request.uri
 import io.ktor.server.response.header
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.routing
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.Serializable
@@ -61,8 +65,8 @@
     override var port = 0
         private set
 
-    /** Requests as they came, to check that none carries a key: method, path, headers, body. */
-    val seen = ConcurrentHashMap.newKeySet<String>()
+    /** Requests as they came, with all headers, to check that none carries a key. */
+    val seen: MutableSet<String> = ConcurrentHashMap.newKeySet()
 
     private val server: EmbeddedServer<*, *> = embeddedServer(CIO, host = "127.0.0.1", port = 0) { routes() }
 
@@ -81,15 +85,20 @@
     }
 
     private fun Application.routes() {
+        intercept(ApplicationCallPipeline.Plugins) {
+            seen += "${call.request.uri} ${call.request.headers.entries()}"
+        }
         routing {
-            get("/health") { call.respondText("ok") }
+            get("/health") { if (isUp) call.respondText("ok") else awaitCancellation() }
             get("/price/{item}") {
                 val item = call.parameters["item"].orEmpty()
                 answer(call, priceOf(item).toString())
             }
             post("/order") {
                 val order = call.receiveText()
+                seen += order
                 book.run(order)
+                if (order.startsWith(CRASH_ORDER)) crash()
                 delay(orderMs)
                 answer(call, "ordered $order")
             }
@@ -110,8 +119,10 @@
         call.respondText(text, type, HttpStatusCode.OK)
     }
 
-    private companion object {
-        const val SCORES = 101
+    companion object {
+        /** Orders that start with this crash the service after they have run. */
+        const val CRASH_ORDER = "crash"
+        private const val SCORES = 101
     }
 }
 
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinPlatform.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinPlatform.kt
@@ -37,6 +37,7 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
 import io.ktor.server.routing.routing
+import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import java.util.concurrent.ConcurrentHashMap
@@ -55,12 +56,20 @@
 
 /** The stand-in on a port. */
 class StandinPlatform(
-    private val port: Int,
-    private val fleet: StandinFleet,
+    port: Int,
+    val fleet: StandinFleet,
     vms: List<VmRow>,
-) {
-    private val memory = InMemoryStore()
-    private val vms = CopyOnWriteArrayList(vms)
+) : AutoCloseable {
+    /** The object store, with its fault switch. */
+    val memory = InMemoryStore()
+
+    /** Rows of the VM list. */
+    val vms = CopyOnWriteArrayList(vms)
+
+    /** Port in use once started. */
+    var port = port
+        private set
+
     private val weights = ConcurrentHashMap<String, Long>()
     private val usage = CopyOnWriteArrayList<UsageReport>()
     private val json = Json { ignoreUnknownKeys = true }
@@ -68,8 +77,11 @@
 
     fun start() {
         server.start(wait = false)
+        port = runBlocking { server.engine.resolvedConnectors() }.first().port
     }
 
+    override fun close() = server.stop(gracePeriodMillis = 0, timeoutMillis = 0)
+
     private fun Application.routes() {
         routing {
             storeRoutes()
@@ -150,9 +162,7 @@
             call.respondText("ok")
         }
         post("/admin/weights/{team}/{pool}/{version}") {
-            val version = call.parameters["version"].orEmpty().toLong()
-            weights[poolOf(call)] = version
-            fleet.newestWeights = maxOf(fleet.newestWeights, version)
+            publishWeights(poolOf(call), call.parameters["version"].orEmpty().toLong())
             call.respondText("ok")
         }
         post("/admin/crash/{target}") {
@@ -173,7 +183,16 @@
         get("/admin/truth") { respondJson(call, json.encodeToString(truth())) }
     }
 
-    private fun truth(): StandinTruth {
+    /** Publishes [version] as a pool's newest weights. */
+    fun publishWeights(
+        pool: String,
+        version: Long,
+    ) {
+        weights[pool] = version
+        fleet.newestWeights = maxOf(fleet.newestWeights, version)
+    }
+
+    fun truth(): StandinTruth {
         val conflicting =
             usage.groupBy { it.team to it.windowStartMs }.count { (_, reports) ->
                 reports.map { it.lines }.distinct().size >
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/Steward.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/Steward.kt
@@ -20,6 +20,7 @@
 import io.guavashore.membership.MemberRecord
 import io.guavashore.metrics.Metrics
 import io.guavashore.metrics.OperationsServer
+import io.guavashore.metrics.StopSignal
 import io.guavashore.platform.HttpPlatform
 import io.guavashore.platform.ObjectPath
 import io.guavashore.platform.Platform
@@ -31,7 +32,6 @@
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.network.selector.SelectorManager
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -39,7 +39,6 @@
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
 
 private val log = KotlinLogging.logger {}
@@ -52,8 +51,7 @@
 ) {
     private val incarnation = Incarnation(wallClock())
     private val metrics = Metrics()
-    private val stop = CompletableDeferred<Unit>()
-    private val stopped = CompletableDeferred<Unit>()
+    private val stop = StopSignal()
     private val merge = UsageMerge()
     private val state = StewardState(settings.vm, clock)
 
@@ -64,11 +62,10 @@
                 install({ CoroutineScope(SupervisorJob() + Dispatchers.Default) }) { opened, _ -> opened.cancel() }
             val selector = install({ SelectorManager(Dispatchers.IO) }) { opened, _ -> opened.close() }
             val client = install({ httpClient() }) { opened, _ -> opened.close() }
-            Runtime.getRuntime().addShutdownHook(Thread(::stopAndWait))
             try {
                 serve(scope, selector, client)
             } finally {
-                stopped.complete(Unit)
+                stop.finished()
             }
         }
 
@@ -226,11 +223,6 @@
             engine { requestTimeout = 0 }
         }
 
-    private fun stopAndWait() {
-        stop.complete(Unit)
-        runBlocking { stopped.await() }
-    }
-
     private companion object {
         const val HINT_EVERY_MS = 2_000L
     }
