--- a/guavashore-acceptance/src/test/kotlin/io/guavashore/acceptance/FailureAcceptanceTest.kt
+++ b/guavashore-acceptance/src/test/kotlin/io/guavashore/acceptance/FailureAcceptanceTest.kt
@@ -45,6 +45,37 @@
         await("a new service", 30_000) { system.order(system.vms[0], "after").statusCode() == 200 }
     }
 
+    @Test
+    fun `an order that is repeated by its idempotency key runs once, through whichever entry, and not in an outage`() {
+        val key = "Idempotency-Key" to "order-key-1"
+        val path = "/v1/demo/orders/call/order"
+        val answers = List(4) { system.post(system.vms[it % 2], path, "keyed-1", headers = mapOf(key)) }
+        assertEquals(List(4) { "ordered keyed-1" }, answers.map { it.body() })
+        assertEquals(1, system.fleet.book.all()["keyed-1"])
+
+        val crash = "${StandinPlainService.CRASH_ORDER}-keyed"
+        val crashKey = mapOf("Idempotency-Key" to "order-key-2")
+        assertEquals(502, system.post(system.vms[0], path, crash, headers = crashKey).statusCode())
+        assertEquals(409, system.post(system.vms[1], path, crash, headers = crashKey).statusCode())
+        assertEquals(1, system.fleet.book.all()[crash])
+
+        await("a new service", 30_000) { system.order(system.vms[0], "after").statusCode() == 200 }
+        system.platform.memory.fault = StoreFault.DOWN
+        try {
+            val refused =
+                system.post(
+                    system.vms[0],
+                    path,
+                    "keyed-3",
+                    headers = mapOf("Idempotency-Key" to "order-key-3"),
+                )
+            assertTrue(refused.statusCode() == 503 && """"not_run":true""" in refused.body(), refused.body())
+        } finally {
+            system.platform.memory.fault = StoreFault.NONE
+        }
+        assertEquals(null, system.fleet.book.all()["keyed-3"])
+    }
+
     @Test
     fun `a poison request costs two targets at most, through whichever entry it comes`() {
         await("two engines", 30_000) { system.fleet.engines().count { it.isUp } >= 2 }
--- a/guavashore-acceptance/src/test/kotlin/io/guavashore/acceptance/TestSystem.kt
+++ b/guavashore-acceptance/src/test/kotlin/io/guavashore/acceptance/TestSystem.kt
@@ -143,12 +143,11 @@
         path: String,
         body: String,
         key: String = APP_KEY,
+        headers: Map<String, String> = emptyMap(),
     ): HttpResponse<String> {
-        val request =
-            request(
-                vm.entry,
-                path,
-            ).header("Authorization", "Bearer $key").POST(HttpRequest.BodyPublishers.ofString(body))
+        val request = request(vm.entry, path).header("Authorization", "Bearer $key")
+        headers.forEach(request::header)
+        request.POST(HttpRequest.BodyPublishers.ofString(body))
         return http.send(request.build(), HttpResponse.BodyHandlers.ofString())
     }
 
--- a/guavashore-admission/src/main/kotlin/io/guavashore/admission/HeldShares.kt
+++ b/guavashore-admission/src/main/kotlin/io/guavashore/admission/HeldShares.kt
@@ -20,10 +20,10 @@
 
     /** Takes in [shares] that answer a report sent at [sentAtMs]. */
     fun accept(
-        shares: Map<ResourceId, Share>,
+        shares: Map<ResourceId, Long>,
         sentAtMs: Long,
     ) {
-        shares.forEach { (resource, share) -> held[resource] = Held(share.amount, sentAtMs + share.termMs) }
+        shares.forEach { (resource, amount) -> held[resource] = Held(amount, sentAtMs + terms.termMs) }
     }
 
     /** What this entry may use of [resource] at [nowMs]. */
--- a/guavashore-admission/src/main/kotlin/io/guavashore/admission/ShareAllocator.kt
+++ b/guavashore-admission/src/main/kotlin/io/guavashore/admission/ShareAllocator.kt
@@ -9,31 +9,6 @@
 package io.guavashore.admission
 
 import io.guavashore.api.VmId
-import kotlinx.serialization.Serializable
-
-/** Name of a limited resource, such as `slots/engine-3`. */
-@JvmInline
-@Serializable
-value class ResourceId(
-    val value: String,
-) {
-    override fun toString() = value
-}
-
-/** What an entry wants of one resource, what it uses right now and what it is entitled to right now. */
-@Serializable
-data class Demand(
-    val wanted: Long,
-    val inUse: Long,
-    val held: Long,
-)
-
-/** Share of one entry; of no use after [termMs] counted from before the report was sent. */
-@Serializable
-data class Share(
-    val amount: Long,
-    val termMs: Long,
-)
 
 /** Total of each resource and the entries that may claim it. */
 data class ShareLimits(
@@ -64,17 +39,20 @@
 
     private val claimants = HashMap<ResourceId, HashMap<VmId, Claimant>>()
 
-    /** Takes the report of [entry] and returns its new shares; resources outside [limits] get none. */
+    /**
+     * Takes the report of [entry] and returns its new shares, each of which lasts for [ShareTerms.termMs] from before
+     * the report was sent. Resources outside [limits] get none.
+     */
     fun report(
         entry: VmId,
         demands: Map<ResourceId, Demand>,
         limits: ShareLimits,
         nowMs: Long,
-    ): Map<ResourceId, Share> {
+    ): Map<ResourceId, Long> {
         claimants.keys.retainAll(limits.totals.keys)
         return demands
             .filterKeys { it in limits.totals }
-            .mapValues { (resource, demand) -> Share(share(entry, resource, demand, limits, nowMs), terms.termMs) }
+            .mapValues { (resource, demand) -> share(entry, resource, demand, limits, nowMs) }
     }
 
     /** Sum of what all entries wanted of [resource] and of what they used, by their latest reports. */
--- a/guavashore-admission/src/main/kotlin/io/guavashore/admission/ShareTerms.kt
+++ b/guavashore-admission/src/main/kotlin/io/guavashore/admission/ShareTerms.kt
@@ -11,7 +11,7 @@
 data class ShareTerms(
     val termMs: Long = 6_000,
     val marginMs: Long = 1_000,
-    val silentAfterMs: Long = 2_000,
+    val silentAfterMs: Long = 3_000,
 ) {
     /** From its share's end on, a holder waits this long before it uses its whole equal part. */
     val gapMs: Long get() = silentAfterMs + 2 * marginMs
--- a/guavashore-admission/src/main/kotlin/io/guavashore/admission/StaticShares.kt
+++ b/guavashore-admission/src/main/kotlin/io/guavashore/admission/StaticShares.kt
@@ -14,7 +14,7 @@
     entries: List<VmId>,
 ): Long {
     if (entries.isEmpty()) return 0
-    val rank = rendezvousRank(resource.value, entries).indexOf(entry)
+    val rank = rendezvousRank(resource.toString(), entries).indexOf(entry)
     if (rank < 0) return 0
     return total / entries.size + if (rank < total % entries.size) 1 else 0
 }
--- a/guavashore-admission/src/test/kotlin/io/guavashore/admission/ShareAllocatorTest.kt
+++ b/guavashore-admission/src/test/kotlin/io/guavashore/admission/ShareAllocatorTest.kt
@@ -8,7 +8,7 @@
 import kotlin.test.assertTrue
 
 class ShareAllocatorTest {
-    private val slots = ResourceId("slots/engine-1")
+    private val slots = ResourceId.of("slots/engine-1")
     private val entries = (1..4).map { VmId("vm-$it") }
     private val total = 40L
     private val limits = ShareLimits(totals = mapOf(slots to total), entries = entries)
--- a/guavashore-api/src/main/kotlin/io/guavashore/api/Rendezvous.kt
+++ b/guavashore-api/src/main/kotlin/io/guavashore/api/Rendezvous.kt
@@ -14,14 +14,12 @@
 fun <M> rendezvousRank(
     key: String,
     members: Collection<M>,
-): List<M> = members.sortedByDescending { rendezvousScore(key, it.toString()) }
+): List<M> = members.sortedByDescending { stableHash("$key/$it") }
 
-private fun rendezvousScore(
-    key: String,
-    member: String,
-): Long {
+/** Hash of [text] that is the same in every process and version. */
+fun stableHash(text: String): Long {
     var hash = FNV_OFFSET
-    "$key/$member".forEach { hash = (hash xor it.code.toLong()) * FNV_PRIME }
+    text.forEach { hash = (hash xor it.code.toLong()) * FNV_PRIME }
     hash = (hash xor (hash ushr MIX_SHIFT)) * MIX_1
     hash = (hash xor (hash ushr MIX_SHIFT)) * MIX_2
     return hash xor (hash ushr MIX_SHIFT)
--- a/guavashore-api/src/main/kotlin/io/guavashore/api/Target.kt
+++ b/guavashore-api/src/main/kotlin/io/guavashore/api/Target.kt
@@ -21,7 +21,6 @@
     val slots: Int,
     val stage: TargetStage,
     val cheap: Boolean = false,
-    val weightVersion: WeightVersion? = null,
     val startedAtMs: Long = 0,
 )
 
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
@@ -85,15 +85,16 @@
         val gate = Gate(state)
         val services =
             EntryServices(
-                gate,
-                state,
-                metrics,
-                clock,
-                wallClock,
-                ledger,
-                HttpPlainClient()::call,
-                ::newAttemptId,
-                link::wake,
+                gate = gate,
+                state = state,
+                metrics = metrics,
+                clock = clock,
+                wallClock = wallClock,
+                ledger = ledger,
+                plain = HttpPlainClient()::call,
+                newAttemptId = ::newAttemptId,
+                claims = RequestClaims(link::exchange, ::newAttemptId),
+                reportSoon = link::wake,
             )
         val registry = StepRegistry(clock)
         val steps = StepRunner(registry, services, scope)
@@ -168,7 +169,7 @@
                 steps = registry.keys().mapNotNull { key -> registry.withStep(key) { it.status(clock()) } },
                 targets =
                     state.teams().flatMap { it.pools.values }.flatMap { it.dispatcher.targets() }.map {
-                        TargetUse(it.target.id, it.target.stage, it.limit, it.target.weightVersion)
+                        TargetUse(it.target.id, it.target.stage, it.limit)
                     },
             ),
         )
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/EntryServices.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/EntryServices.kt
@@ -31,6 +31,7 @@
     private val ledger: UsageLedger,
     private val plain: CallPlain,
     private val newAttemptId: NewAttemptId,
+    val claims: RequestClaims,
     val reportSoon: () -> Unit = {},
 ) {
     /** Counts what was delivered to the caller; open routes are nobody's usage. */
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/EntryState.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/EntryState.kt
@@ -96,9 +96,9 @@
             }.fold(emptyMap()) { all, demands -> all + demands }
     }
 
-    /** Requests of this entry that run on each target. */
-    fun inFlight(): Map<TargetId, Int> =
-        teams.values.flatMap { it.pools.values }.fold(emptyMap()) { all, pool -> all + pool.dispatcher.inFlight() }
+    /** Requests of this entry that run on targets which are to leave. */
+    fun inFlightOnLeaving(): Map<TargetId, Int> =
+        teams.values.flatMap { it.pools.values }.fold(emptyMap()) { all, pool -> all + pool.inFlightOnLeaving() }
 
     /** True if keyed requests of the organisation are to be refused because withdrawn keys can't be known here. */
     fun refusesIsolated(
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/EntryStatus.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/EntryStatus.kt
@@ -8,7 +8,6 @@
 import io.guavashore.api.TargetStage
 import io.guavashore.api.TeamId
 import io.guavashore.api.VmId
-import io.guavashore.api.WeightVersion
 import io.guavashore.api.ZoneId
 import io.guavashore.samples.StepStatus
 import kotlinx.serialization.Serializable
@@ -30,5 +29,4 @@
     val target: TargetId,
     val stage: TargetStage,
     val limit: Int,
-    val weightVersion: WeightVersion?,
 )
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/PlainRoute.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/PlainRoute.kt
@@ -14,6 +14,7 @@
 import io.guavashore.calls.PlainCall
 import io.guavashore.calls.PlainRequest
 import io.guavashore.calls.SlotRequest
+import io.guavashore.claims.ClaimKey
 import io.guavashore.routing.RequestFingerprint
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
@@ -60,8 +61,20 @@
         request: PlainRequest,
         deadlineMs: Long,
     ) {
-        services
-            .callPlain(admitted, request, plan(admitted, request, deadlineMs))
+        val plan = plan(admitted, request, deadlineMs)
+        val key = call.request.header(IDEMPOTENCY_HEADER)?.takeUnless { plan.idempotent }
+        if (key != null && key.length > MAX_KEY_LENGTH) {
+            return call.respondProblem(
+                badRequestRefusal("$IDEMPOTENCY_HEADER must be at most $MAX_KEY_LENGTH characters"),
+            )
+        }
+        val outcome =
+            if (key == null) {
+                services.callPlain(admitted, request, plan)
+            } else {
+                services.claims.runOnce(claimKey(admitted, key)) { services.callPlain(admitted, request, plan) }
+            }
+        outcome
             .onFailure { call.respondProblem(it) }
             .onSuccess { answer ->
                 val type = answer.contentType?.let(ContentType::parse) ?: ContentType.Application.OctetStream
@@ -70,6 +83,11 @@
             }
     }
 
+    private fun claimKey(
+        admitted: Admitted,
+        key: String,
+    ) = ClaimKey(admitted.team.declaration.team, admitted.caller.organisation, admitted.service.id, key)
+
     private fun plan(
         admitted: Admitted,
         request: PlainRequest,
@@ -87,6 +105,8 @@
     )
 
     private companion object {
+        const val IDEMPOTENCY_HEADER = "Idempotency-Key"
+        const val MAX_KEY_LENGTH = 200
         val idempotentMethods =
             setOf(HttpMethod.Get, HttpMethod.Head, HttpMethod.Put, HttpMethod.Delete, HttpMethod.Options)
     }
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/PoolRuntime.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/PoolRuntime.kt
@@ -9,6 +9,7 @@
 import io.guavashore.api.OrganisationId
 import io.guavashore.api.PoolDeclaration
 import io.guavashore.api.Target
+import io.guavashore.api.TargetId
 import io.guavashore.api.TargetStage
 import io.guavashore.api.ZoneId
 import io.guavashore.calls.CallRunner
@@ -83,6 +84,12 @@
         }
     }
 
+    /** Requests of this entry on targets of the pool that are to leave. */
+    fun inFlightOnLeaving(): Map<TargetId, Int> {
+        val leaving = dispatcher.targets().filter { it.target.stage == TargetStage.LEAVING }.map { it.target.id }
+        return dispatcher.inFlight().filterKeys { it in leaving }
+    }
+
     private fun serving() = dispatcher.targets().filter { it.target.stage == TargetStage.SERVING }
 
     private companion object {
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/StewardLink.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/StewardLink.kt
@@ -3,6 +3,7 @@
  */
 package io.guavashore.entry
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -15,6 +16,7 @@
 import io.guavashore.usage.UsageLedger
 import io.guavashore.wire.ControlClient
 import io.guavashore.wire.ControlMessage
+import io.guavashore.wire.WireError
 import io.guavashore.wire.expect
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.channels.Channel
@@ -33,10 +35,11 @@
     private val ledger: UsageLedger,
     private val clock: MonotonicClock,
     selector: SelectorManager,
-    private val reportEveryMs: Long = 500,
+    private val reportEveryMs: Long = 1_000,
     private val leastGapMs: Long = 100,
 ) {
     private val clients = stewards.map { it to ControlClient(it, selector) }
+    private val requests = stewards.map { ControlClient(it, selector, REQUEST_TIMEOUT_MS) }
     private val changed = ChangedCounters(clock)
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private var current = 0
@@ -56,6 +59,10 @@
         }
     }
 
+    /** One exchange with the steward that answers the reports. */
+    suspend fun exchange(message: ControlMessage): Result<ControlMessage, WireError> =
+        requests[current].exchange(message)
+
     /** Sends a last report, so that nothing that was counted is lost. */
     suspend fun reportOnce() = report()
 
@@ -67,7 +74,7 @@
                 incarnation = incarnation,
                 knownFacts = state.facts.versions(),
                 demands = state.takeDemands(),
-                inFlight = state.inFlight(),
+                inFlight = state.inFlightOnLeaving(),
                 usage = usage,
                 suspects = guard.records(),
             )
@@ -96,4 +103,8 @@
         if (answering != endpoint) log.info { "steward $endpoint answers" }
         answering = endpoint
     }
+
+    private companion object {
+        const val REQUEST_TIMEOUT_MS = 4_000L
+    }
 }
--- /dev/null
+++ b/guavashore-experiment/src/main/kotlin/io/guavashore/experiment/ExperimentMain.kt
@@ -0,0 +1,49 @@
+/*
+ * Binary of the experiments; each prints JSON, one document a line.
+ */
+package io.guavashore.experiment
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.serialization.json.Json
+
+private class FleetCommand : Subcommand("fleet", "Cost and speed of membership by fleet size") {
+    private val sizes by option(ArgType.String, "sizes", description = "Fleet sizes").default("7,50,200,410")
+
+    override fun execute() {
+        // The first run warms the code up and is not printed.
+        FleetMeasurement(size = 7).measure()
+        sizes.split(',').forEach { println(Json.encodeToString(FleetMeasurement(it.toInt()).measure())) }
+    }
+}
+
+private class SampleMemoryCommand : Subcommand("sample-memory", "Heap of a step by its size") {
+    private val sizes by option(ArgType.String, "sizes", description = "Samples x tokens of each")
+        .default("512x256,2048x256,4096x256,4096x512,4096x1024")
+
+    override fun execute() =
+        pairs(sizes).forEach { (samples, tokens) -> println(Json.encodeToString(measureSampleMemory(samples, tokens))) }
+}
+
+private class ReportSizeCommand : Subcommand("report-size", "Bytes of entries' reports by targets and organisations") {
+    private val sizes by option(ArgType.String, "sizes", description = "Targets x organisations")
+        .default("8x8,12x8,50x8,120x8,600x8,12x30")
+
+    override fun execute() =
+        pairs(sizes).forEach { (targets, organisations) ->
+            println(Json.encodeToString(measureReportSize(targets, organisations)))
+        }
+}
+
+private fun pairs(text: String): List<Pair<Int, Int>> =
+    text.split(',').map { it.substringBefore('x').toInt() to it.substringAfter('x').toInt() }
+
+@OptIn(ExperimentalCli::class)
+fun main(args: Array<String>) {
+    val parser = ArgParser("guavashore-experiment")
+    parser.subcommands(FleetCommand(), SampleMemoryCommand(), ReportSizeCommand())
+    parser.parse(args)
+}
--- /dev/null
+++ b/guavashore-experiment/src/main/kotlin/io/guavashore/experiment/ReportSizeFigures.kt
@@ -0,0 +1,60 @@
+/*
+ * Bytes that an entry and its steward exchange with the holders of leases, by targets and organisations.
+ */
+package io.guavashore.experiment
+
+import io.guavashore.admission.Demand
+import io.guavashore.api.Incarnation
+import io.guavashore.api.OrganisationDeclaration
+import io.guavashore.api.OrganisationId
+import io.guavashore.api.TargetId
+import io.guavashore.api.TeamId
+import io.guavashore.api.VmId
+import io.guavashore.membership.FactVersion
+import io.guavashore.wire.ControlMessage
+import io.guavashore.wire.SharedResources
+import io.guavashore.wire.encodeBody
+import kotlinx.serialization.Serializable
+
+/** Figures of one setting; usage counters, which are sent only when they change, are left out. */
+@Serializable
+data class ReportSizeFigures(
+    val targets: Int,
+    val organisations: Int,
+    val reportBytes: Int,
+    val updateBytes: Int,
+    val shareRequestBytes: Int,
+    val bytesPerS: Int,
+)
+
+/** Measures one report, its forwarding and its answers. */
+internal fun measureReportSize(
+    targets: Int,
+    organisations: Int,
+): ReportSizeFigures {
+    val slots = List(targets) { SharedResources.slots(TargetId("engines-zone-1-$it")) }
+    val limits = List(organisations) { limitsOf(it) }.flatMap { it.keys }
+    val demands = (slots + limits).associateWith { Demand(wanted = 12, inUse = 7, held = SLOTS) }
+    val shares = demands.mapValues { SLOTS }
+    val versions = List(FACTS) { FactVersion("config/team-$it", term = 17, sequence = 3) }
+    val vm = VmId("vm-1")
+    val incarnation = Incarnation(STARTED_MS)
+    val inFlight = mapOf(TargetId("engines-zone-1-0") to IN_FLIGHT)
+    val report = size(ControlMessage.EntryReport(vm, incarnation, versions, demands, inFlight))
+    val update = size(ControlMessage.EntryUpdate(shares = shares, entries = List(ENTRIES) { VmId("vm-$it") }))
+    val request = size(ControlMessage.ShareRequest(vm, incarnation, demands, inFlight, versions, emptyList()))
+    val reply = size(ControlMessage.ShareReply(shares))
+    return ReportSizeFigures(targets, organisations, report, update, request, (request + reply) * REPORTS_PER_S)
+}
+
+private fun limitsOf(index: Int) =
+    SharedResources.limits(TeamId("team-1"), OrganisationDeclaration(OrganisationId("organisation-$index")))
+
+private fun size(message: ControlMessage) = encodeBody(ControlMessage.serializer(), message).size
+
+private const val FACTS = 8
+private const val IN_FLIGHT = 7
+private const val SLOTS = 16L
+private const val ENTRIES = 7
+private const val STARTED_MS = 1_796_000_000_000L
+private const val REPORTS_PER_S = 1
--- a/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseKeeper.kt
+++ b/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseKeeper.kt
@@ -18,13 +18,19 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Keeps one lease as long as [run] runs. */
+/**
+ * Keeps one lease as long as [run] runs.
+ *
+ * @param isCandidate whether this process should contend; a holder keeps renewing whatever this says. With a few
+ * candidates per duty the store's calls do not grow with the fleet.
+ */
 class LeaseKeeper(
     private val path: ObjectPath,
     private val machine: LeaseMachine,
     private val store: ObjectStore,
     private val clock: MonotonicClock,
     private val pollMs: Long = 200,
+    private val isCandidate: () -> Boolean = { true },
 ) {
     private val mutex = Mutex()
 
@@ -37,7 +43,7 @@
     /** Contends for the lease and renews it, until cancelled. */
     suspend fun run() {
         while (true) {
-            step()
+            if (held() != null || isCandidate()) step()
             delay(pollMs)
         }
     }
--- a/guavashore-membership/src/main/kotlin/io/guavashore/membership/MemberRecord.kt
+++ b/guavashore-membership/src/main/kotlin/io/guavashore/membership/MemberRecord.kt
@@ -28,11 +28,15 @@
         incarnation > other.incarnation || (incarnation == other.incarnation && state > other.state)
 }
 
-/** News that travels with each message. [factsHash] is the hash of all fact versions of the sender. */
+/**
+ * News that travels with each message. [factsHash] is the hash of all fact versions of the sender; [platformAgeMs]
+ * is how long ago the platform answered anybody that the sender has heard of, directly or not.
+ */
 @Serializable
 data class Gossip(
     val records: List<MemberRecord>,
     val factsHash: Long,
+    val platformAgeMs: Long,
     val facts: List<FactVersion> = emptyList(),
 )
 
--- a/guavashore-membership/src/main/kotlin/io/guavashore/membership/Membership.kt
+++ b/guavashore-membership/src/main/kotlin/io/guavashore/membership/Membership.kt
@@ -16,7 +16,7 @@
     val ackWithinMs: Long = 400,
     val suspectForMs: Long = 4_000,
     val helpers: Int = 2,
-    val recordsPerMessage: Int = 6,
+    val recordsPerMessage: Int = 4,
     val rumourFanout: Int = 3,
     val retryDeadEveryMs: Long = 5_000,
 )
@@ -33,6 +33,7 @@
     self: MemberRecord,
     private val facts: FactTable,
     private val random: Random,
+    startedAtMs: Long,
     private val terms: MembershipTerms = MembershipTerms(),
 ) {
     private class OpenProbe(
@@ -61,6 +62,7 @@
     private var nextRetryAtMs = 0L
     private var sequence = 0L
     private var factsHashSpread = 0L
+    private var platformHeardAtMs = startedAtMs
 
     /** Members that are alive or merely suspect, this one included. */
     fun live(): List<MemberRecord> =
@@ -69,6 +71,14 @@
     /** True if at least one other member is alive. */
     fun hasPeers(): Boolean = members.values.any { it.state == MemberState.ALIVE }
 
+    /** Records that the platform answered this member. */
+    fun notePlatform(nowMs: Long) {
+        platformHeardAtMs = maxOf(platformHeardAtMs, nowMs)
+    }
+
+    /** How long ago the platform answered any member that this one has heard of. */
+    fun platformAgeMs(nowMs: Long): Long = nowMs - platformHeardAtMs
+
     /** Replaces the hints of whom to probe. */
     fun hint(all: List<MemberHint>) {
         hints.clear()
@@ -105,11 +115,17 @@
         nowMs: Long,
     ): List<Outgoing> {
         learn(message.from, nowMs)
+        platformHeardAtMs = maxOf(platformHeardAtMs, nowMs - message.gossip.platformAgeMs)
         message.gossip.records.forEach { learn(it, nowMs) }
         return when (message) {
             is MemberMessage.Probe -> {
                 val withFacts = message.gossip.factsHash != facts.hash()
-                listOf(Outgoing(source, MemberMessage.Ack(message.sequence, self, gossip(withFacts, message.from.vm))))
+                listOf(
+                    Outgoing(
+                        source,
+                        MemberMessage.Ack(message.sequence, self, gossip(nowMs, withFacts, message.from.vm)),
+                    ),
+                )
             }
             is MemberMessage.Ack -> acknowledged(message)
             is MemberMessage.IndirectProbe -> {
@@ -139,7 +155,12 @@
         if (target != null && !probe.helpersAsked && members[target]?.state == MemberState.ALIVE) {
             probe.helpersAsked = true
             val helpers = randomLive(terms.helpers, except = target)
-            return helpers.map { Outgoing(it.control, MemberMessage.IndirectProbe(sequence, probe.to, self, gossip())) }
+            return helpers.map {
+                Outgoing(
+                    it.control,
+                    MemberMessage.IndirectProbe(sequence, probe.to, self, gossip(nowMs)),
+                )
+            }
         }
         if (nowMs < probe.sentAtMs + terms.ackWithinMs * ACK_ROUNDS) return emptyList()
         open.remove(sequence)
@@ -189,11 +210,12 @@
     ): Outgoing {
         val number = ++sequence
         open[number] = OpenProbe(target, to, sentAtMs = nowMs, forwardTo = forwardTo)
-        return Outgoing(to, MemberMessage.Probe(number, self, gossip(withFacts, target)))
+        return Outgoing(to, MemberMessage.Probe(number, self, gossip(nowMs, withFacts, target)))
     }
 
     /** A [receiver] that is held for suspect or dead is told so, since only it can refute that. */
     private fun gossip(
+        nowMs: Long,
         withFacts: Boolean = false,
         receiver: VmId? = null,
     ): Gossip {
@@ -203,7 +225,8 @@
         val records = toRefute + least.map { it.record }
         val enough = SPREAD_FACTOR * (Int.SIZE_BITS - (members.size + 1).countLeadingZeroBits())
         spreads.values.removeIf { it.timesSent >= enough }
-        return Gossip(records, facts.hash(), if (withFacts) facts.versions() else emptyList())
+        val versions = if (withFacts) facts.versions() else emptyList()
+        return Gossip(records, facts.hash(), platformAgeMs(nowMs), versions)
     }
 
     private fun nextToProbe(): MemberRecord? {
--- a/guavashore-membership/src/test/kotlin/io/guavashore/membership/MembershipTest.kt
+++ b/guavashore-membership/src/test/kotlin/io/guavashore/membership/MembershipTest.kt
@@ -21,7 +21,7 @@
         var isCut: (Int, Int) -> Boolean = { _, _ -> false }
         val down = mutableSetOf<Int>()
         val facts = List(size) { FactTable() }
-        val members = List(size) { Membership(record(it), facts[it], Random(seed * 1_000 + it)) }
+        val members = List(size) { Membership(record(it), facts[it], Random(seed * 1_000 + it), startedAtMs = 0) }
 
         init {
             val hints = List(size) { MemberHint(VmId("vm-$it"), ZoneId("a"), endpoint(it)) }
@@ -107,6 +107,26 @@
         }
     }
 
+    @Nested
+    inner class `the platform` {
+        @Test
+        fun `is known to be within reach wherever one node is heard that it answers, and nowhere else`() {
+            val fleet = Fleet(50)
+            fleet.run(60_000)
+            repeat(60) {
+                fleet.members[0].notePlatform(fleet.nowMs)
+                fleet.run(1_000)
+            }
+            assertTrue(fleet.members.all { it.platformAgeMs(fleet.nowMs) < 20_000 })
+            fleet.isCut = { a, b -> (a < 25) != (b < 25) }
+            repeat(60) {
+                fleet.members[0].notePlatform(fleet.nowMs)
+                fleet.run(1_000)
+            }
+            assertEquals(25, fleet.members.count { it.platformAgeMs(fleet.nowMs) < 20_000 })
+        }
+    }
+
     @Nested
     inner class `facts` {
         @Test
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinMain.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinMain.kt
@@ -29,11 +29,16 @@
         "vms",
         description = "VMs as NAME@ZONE@IP:PORT of the steward, comma-separated",
     ).required()
+    private val slots by option(
+        ArgType.Int,
+        "slots",
+        description = "Sequences that an engine runs at once",
+    ).default(SLOTS)
     private val tickMs by option(ArgType.Int, "tick-ms", description = "Time of one token").default(TICK_MS)
 
     override fun execute() {
         val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-        val fleet = StandinFleet(scope, EngineTraits(tickMs = tickMs.toLong()))
+        val fleet = StandinFleet(scope, EngineTraits(tickMs = tickMs.toLong(), slots = slots))
         StandinPlatform(port, fleet, vms.split(',').map(::parseVm)).start()
         Thread.currentThread().join()
     }
@@ -46,6 +51,7 @@
 
     private companion object {
         const val TICK_MS = 10
+        const val SLOTS = 16
     }
 }
 
@@ -71,10 +77,29 @@
     }
 }
 
+private class LoadCommand : Subcommand("load", "Measure an entry's cost against its targets") {
+    private val entry by option(ArgType.String, "entry", description = "URL of the entry").required()
+    private val plain by option(ArgType.String, "plain", description = "URL of a plain target").required()
+    private val engine by option(ArgType.String, "engine", description = "URL of an engine").required()
+    private val entryPid by option(ArgType.Int, "entry-pid", description = "Process of the entry").required()
+    private val stewardPid by option(ArgType.Int, "steward-pid", description = "Process of its steward").required()
+    private val streams by option(ArgType.Int, "streams", description = "Streams to hold open").default(STREAMS)
+
+    override fun execute() {
+        val setup = LoadSetup(entry, plain, engine, entryPid.toLong(), stewardPid.toLong(), streams)
+        runBlocking(Dispatchers.Default) { LoadDriver(setup).run() }
+        exitProcess(0)
+    }
+
+    private companion object {
+        const val STREAMS = 5_000
+    }
+}
+
 @OptIn(ExperimentalCli::class)
 fun main(args: Array<String>) {
     configureLogs(json = false, level = "info")
     val parser = ArgParser("guavashore-standin")
-    parser.subcommands(PlatformCommand(), DemoCommand())
+    parser.subcommands(PlatformCommand(), DemoCommand(), LoadCommand())
     parser.parse(args)
 }
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/ConfigurationRelay.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/ConfigurationRelay.kt
@@ -8,8 +8,6 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.guavashore.api.Incarnation
-import io.guavashore.api.MonotonicClock
 import io.guavashore.api.TeamSnapshot
 import io.guavashore.api.VmId
 import io.guavashore.api.ZoneId
@@ -32,16 +30,13 @@
 internal class ConfigurationRelay(
     private val self: VmId,
     private val zone: ZoneId,
-    private val incarnation: Incarnation,
     private val store: ObjectStore,
     private val facts: FactTable,
-    private val clock: MonotonicClock,
+    private val onPlatformHeard: () -> Unit,
     private val liveInZone: () -> List<VmId>,
 ) {
     private val configuration = ConfigurationStore(store)
     private var cursor = 0L
-    private var pulses = 0L
-    private var pulsedAtMs = Long.MIN_VALUE / 2
     private var reachable = true
 
     /** Watches whenever it is this steward's turn, until cancelled. */
@@ -68,7 +63,7 @@
                     } else {
                         cursor
                     }
-                pulse()
+                onPlatformHeard()
                 if (!all) delay(RETRY_MS)
             }.onFailure {
                 noteReachable(false)
@@ -87,13 +82,6 @@
         return true
     }
 
-    /** Shows the others that the platform is within reach. */
-    private fun pulse() {
-        if (clock() - pulsedAtMs < PULSE_EVERY_MS) return
-        pulsedAtMs = clock()
-        facts.offer(Fact(FactVersion(FactKeys.pulse(self), incarnation.value, ++pulses), content = ""))
-    }
-
     private fun noteReachable(now: Boolean) {
         if (now != reachable) log.info { if (now) "the store answers again" else "the store does not answer" }
         reachable = now
@@ -104,6 +92,5 @@
         const val WATCH_MS = 4_000L
         const val IDLE_MS = 500L
         const val RETRY_MS = 500L
-        const val PULSE_EVERY_MS = 4_000L
     }
 }
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/Coordinator.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/Coordinator.kt
@@ -6,7 +6,6 @@
 
 import com.github.michaelbull.result.onSuccess
 import io.guavashore.admission.ResourceId
-import io.guavashore.admission.Share
 import io.guavashore.admission.ShareAllocator
 import io.guavashore.admission.ShareLimits
 import io.guavashore.api.FencingNumber
@@ -41,7 +40,7 @@
     }
 
     /** Shares of organisations' limits for an entry. */
-    fun report(request: ControlMessage.ShareRequest): Map<ResourceId, Share> {
+    fun report(request: ControlMessage.ShareRequest): Map<ResourceId, Long> {
         val totals =
             state.declarations().flatMap { team ->
                 team.organisations.flatMap { SharedResources.limits(team.team, it).toList() }
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/EntryDesk.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/EntryDesk.kt
@@ -6,9 +6,7 @@
 import com.github.michaelbull.result.get
 import io.guavashore.admission.Demand
 import io.guavashore.admission.ResourceId
-import io.guavashore.admission.Share
 import io.guavashore.api.MonotonicClock
-import io.guavashore.api.TargetId
 import io.guavashore.api.TargetTable
 import io.guavashore.api.UsageCounter
 import io.guavashore.api.VmId
@@ -65,12 +63,12 @@
 
     private fun forEntries(fact: Fact) = entryPrefixes.any { fact.version.key.startsWith(it) }
 
-    private suspend fun collectShares(report: ControlMessage.EntryReport): Map<ResourceId, Share> {
-        val zones = zonesOfTargets()
+    private suspend fun collectShares(report: ControlMessage.EntryReport): Map<ResourceId, Long> {
+        val zones = zonesOfSlots()
         val byDuty =
             report.demands.entries.groupBy(
                 { (resource, _) ->
-                    SharedResources.targetOf(resource)?.let { zones[it]?.value } ?: FactKeys.COORDINATOR
+                    zones[resource]?.value ?: FactKeys.COORDINATOR
                 },
                 { it.key to it.value },
             )
@@ -89,7 +87,7 @@
         duty: String,
         demands: Map<ResourceId, Demand>,
         report: ControlMessage.EntryReport,
-    ): Map<ResourceId, Share> {
+    ): Map<ResourceId, Long> {
         val leader = view.leaderOf(duty) ?: return emptyMap()
         val usage = if (duty == view.zone.value) changedFor(leader) else emptyList()
         val request =
@@ -107,7 +105,7 @@
     }
 
     /** A second copy of the zone's usage, for the case that its lease holder is lost. */
-    private suspend fun backUpUsage(report: ControlMessage.EntryReport): Map<ResourceId, Share> {
+    private suspend fun backUpUsage(report: ControlMessage.EntryReport): Map<ResourceId, Long> {
         val backup = view.backup()?.takeIf { it != view.self } ?: return emptyMap()
         val usage = changedFor(backup)
         if (usage.isEmpty()) return emptyMap()
@@ -140,11 +138,11 @@
     private fun changedFor(receiver: VmId): List<UsageCounter> =
         changed.computeIfAbsent(receiver) { ChangedCounters(clock) }.pick(merge.counters())
 
-    private fun zonesOfTargets(): Map<TargetId, ZoneId> =
+    private fun zonesOfSlots(): Map<ResourceId, ZoneId> =
         facts
             .withPrefix(FactKeys.TARGETS)
             .map { json.decodeFromString<TargetTable>(it.content) }
-            .flatMap { table -> table.targets.map { it.id to table.zone } }
+            .flatMap { table -> table.targets.map { SharedResources.slots(it.id) to table.zone } }
             .toMap()
 
     private fun publishSuspects(report: ControlMessage.EntryReport) {
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/MembershipService.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/MembershipService.kt
@@ -44,7 +44,7 @@
     private val clock: MonotonicClock,
     private val scope: CoroutineScope,
 ) {
-    private val membership = Membership(self, facts, Random(self.incarnation))
+    private val membership = Membership(self, facts, Random(self.incarnation), startedAtMs = clock())
     private val fetching = ConcurrentHashMap.newKeySet<Endpoint>()
     private lateinit var socket: BoundDatagramSocket
 
@@ -58,6 +58,11 @@
 
     fun hasPeers(): Boolean = synchronized(membership) { membership.hasPeers() }
 
+    fun notePlatform() = synchronized(membership) { membership.notePlatform(clock()) }
+
+    /** True if neither this steward nor any that it hears of has reached the platform lately. */
+    fun isIsolated(): Boolean = synchronized(membership) { membership.platformAgeMs(clock()) } > ISOLATED_AFTER_MS
+
     fun hint(all: List<MemberHint>) = synchronized(membership) { membership.hint(all) }
 
     /** Binds the socket and starts probing. */
@@ -137,5 +142,6 @@
 
     private companion object {
         const val TICK_MS = 100L
+        const val ISOLATED_AFTER_MS = 30_000L
     }
 }
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/Steward.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/Steward.kt
@@ -13,6 +13,7 @@
 import io.guavashore.api.rendezvousRank
 import io.guavashore.api.systemMonotonicClock
 import io.guavashore.api.systemWallClock
+import io.guavashore.claims.ClaimKeeper
 import io.guavashore.leases.LeaseHolder
 import io.guavashore.leases.LeaseKeeper
 import io.guavashore.leases.LeaseMachine
@@ -53,7 +54,7 @@
     private val metrics = Metrics()
     private val stop = StopSignal()
     private val merge = UsageMerge()
-    private val state = StewardState(settings.vm, clock)
+    private val state = StewardState(settings.vm)
 
     /** Runs until SIGTERM. */
     suspend fun run() =
@@ -81,15 +82,16 @@
             Duties(settings.zone, state, platform, merge, metrics, clock, wallClock) {
                 membership.live().map { it.vm }.toSet()
             }
-        val zoneLease = keeper(settings.zone.value, platform)
-        val coordinatorLease = keeper(FactKeys.COORDINATOR, platform)
+        val zoneLease = keeper(settings.zone.value, platform) { liveInZone(membership) }
+        val coordinatorLease = keeper(FactKeys.COORDINATOR, platform) { membership.live().map { it.vm } }
         val relay =
-            ConfigurationRelay(settings.vm, settings.zone, incarnation, platform.store, state.facts, clock) {
+            ConfigurationRelay(settings.vm, settings.zone, platform.store, state.facts, membership::notePlatform) {
                 liveInZone(membership)
             }
         val desk = EntryDesk(deskView(membership, duties), state.facts, merge, peers, clock)
+        val claims = ClaimKeeper(platform.store, wallClock)
         membership.start(settings.stewardControl, selector)
-        val server = ControlServer.bind(settings.stewardControl, selector) { handle(it, desk, duties) }
+        val server = ControlServer.bind(settings.stewardControl, selector) { handle(it, desk, duties, claims) }
         scope.launch { server.run() }
         scope.launch { relay.run() }
         scope.launch { keepHints(platform, membership, peers) }
@@ -124,10 +126,15 @@
     private fun keeper(
         duty: String,
         platform: Platform,
-    ): LeaseKeeper {
-        val machine = LeaseMachine(LeaseHolder(settings.vm, incarnation))
-        return LeaseKeeper(ObjectPath("leases/$duty"), machine, platform.store, clock)
-    }
+        members: () -> List<VmId>,
+    ): LeaseKeeper =
+        LeaseKeeper(
+            path = ObjectPath("leases/$duty"),
+            machine = LeaseMachine(LeaseHolder(settings.vm, incarnation)),
+            store = platform.store,
+            clock = clock,
+            isCandidate = { settings.vm in rendezvousRank("lease/$duty", members()).take(CANDIDATES_PER_DUTY) },
+        )
 
     private fun deskView(
         membership: MembershipService,
@@ -139,7 +146,7 @@
         find = membership::find,
         backup = { backupOf(membership) },
         entries = state::listedEntries,
-        isolated = state::isIsolated,
+        isolated = membership::isIsolated,
         handleShare = duties::share,
     )
 
@@ -147,14 +154,32 @@
         message: ControlMessage,
         desk: EntryDesk,
         duties: Duties,
+        claims: ClaimKeeper,
     ): ControlMessage =
         when (message) {
             is ControlMessage.EntryReport -> desk.answer(message)
             is ControlMessage.FetchFacts -> ControlMessage.FactsReply(message.keys.mapNotNull { state.facts[it] })
             is ControlMessage.ShareRequest -> duties.share(message)
+            is ControlMessage.ClaimRequest -> ControlMessage.ClaimReply(claims.claim(message.key, message.attempt))
+            is ControlMessage.ClaimEnd -> end(message, claims)
             else -> ControlMessage.Rejected("a steward does not take ${message::class.simpleName}")
         }
 
+    private suspend fun end(
+        message: ControlMessage.ClaimEnd,
+        claims: ClaimKeeper,
+    ): ControlMessage {
+        val answer = message.answer
+        if (answer ==
+            null
+        ) {
+            claims.release(message.key, message.attempt)
+        } else {
+            claims.finish(message.key, message.attempt, answer)
+        }
+        return ControlMessage.Done
+    }
+
     private fun liveInZone(membership: MembershipService): List<VmId> =
         membership.live().filter { it.zone == settings.zone }.map { it.vm }
 
@@ -225,5 +250,6 @@
 
     private companion object {
         const val HINT_EVERY_MS = 2_000L
+        const val CANDIDATES_PER_DUTY = 3
     }
 }
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/StewardState.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/StewardState.kt
@@ -1,11 +1,9 @@
 /*
- * What a steward knows from facts: declarations, listed VMs, who holds which duty, and when the platform was last
- * heard of.
+ * What a steward knows from facts: declarations, listed VMs, and who holds which duty.
  */
 package io.guavashore.steward
 
 import io.guavashore.api.Declaration
-import io.guavashore.api.MonotonicClock
 import io.guavashore.api.TeamSnapshot
 import io.guavashore.api.VmId
 import io.guavashore.configuration.AdoptedConfiguration
@@ -21,14 +19,10 @@
 /** Knowledge of one steward. Thread-safe. */
 internal class StewardState(
     private val self: VmId,
-    private val clock: MonotonicClock,
 ) {
     val adopted = AdoptedConfiguration()
     val facts = FactTable(::onFact)
 
-    @Volatile
-    private var pulseAtMs = clock()
-
     /** The platform's list of VMs as last heard. */
     @Volatile
     var vmRows: List<VmRow> = emptyList()
@@ -38,9 +32,6 @@
     /** VMs whose entries may claim shares, by the platform's list. */
     fun listedEntries(): List<VmId> = vmRows.filter { it.state == VmState.LIVE }.map { it.vm }.sorted()
 
-    /** True if neither this steward nor any that it hears of has reached the platform lately. */
-    fun isIsolated(): Boolean = clock() - pulseAtMs > ISOLATED_AFTER_MS
-
     /** Holder of [duty], a zone's name or the coordinator's. */
     fun leaderOf(duty: String): VmId? = facts[FactKeys.leader(duty)]?.content?.let(::VmId)
 
@@ -61,13 +52,8 @@
     private fun onFact(fact: Fact) {
         val key = fact.version.key
         when {
-            key.startsWith(FactKeys.PULSE) -> pulseAtMs = clock()
             key.startsWith(FactKeys.CONFIGURATION) -> adopted.offer(Json.decodeFromString<TeamSnapshot>(fact.content))
             key == FactKeys.VMS -> vmRows = Json.decodeFromString(fact.content)
         }
     }
-
-    private companion object {
-        const val ISOLATED_AFTER_MS = 20_000L
-    }
 }
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/ZoneController.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/ZoneController.kt
@@ -7,7 +7,6 @@
 import com.github.michaelbull.result.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.admission.ResourceId
-import io.guavashore.admission.Share
 import io.guavashore.admission.ShareAllocator
 import io.guavashore.admission.ShareLimits
 import io.guavashore.api.Declaration
@@ -22,7 +21,6 @@
 import io.guavashore.api.TargetTable
 import io.guavashore.api.TeamId
 import io.guavashore.api.VmId
-import io.guavashore.api.WeightVersion
 import io.guavashore.api.ZoneId
 import io.guavashore.leases.HeldLease
 import io.guavashore.leases.IntentKind
@@ -93,7 +91,7 @@
     }
 
     /** Shares of this zone's slots for an entry, and what it runs there. */
-    fun report(request: ControlMessage.ShareRequest): Map<ResourceId, Share> {
+    fun report(request: ControlMessage.ShareRequest): Map<ResourceId, Long> {
         val known =
             request.tableVersions.firstOrNull {
                 it.key == FactKeys.targets(zone) &&
@@ -132,9 +130,8 @@
         drain.leaving.filter { id -> present.none { it.id == id } }.forEach(drain::forget)
     }
 
-    private fun toTarget(row: PlatformTarget): Target {
-        val version = health.version(row.id)
-        return Target(
+    private fun toTarget(row: PlatformTarget): Target =
+        Target(
             id = row.id,
             team = row.team,
             pool = row.pool,
@@ -144,10 +141,8 @@
             slots = poolOf(row.team, row.pool)?.slotsPerTarget ?: 1,
             stage = stageOf(row),
             cheap = row.cheap,
-            weightVersion = version,
             startedAtMs = row.startedAtMs,
         )
-    }
 
     private fun stageOf(row: PlatformTarget): TargetStage =
         when {
--- a/guavashore-wire/src/main/kotlin/io/guavashore/wire/ControlMessage.kt
+++ b/guavashore-wire/src/main/kotlin/io/guavashore/wire/ControlMessage.kt
@@ -5,11 +5,14 @@
 
 import io.guavashore.admission.Demand
 import io.guavashore.admission.ResourceId
-import io.guavashore.admission.Share
+import io.guavashore.api.AttemptId
 import io.guavashore.api.Incarnation
 import io.guavashore.api.TargetId
 import io.guavashore.api.UsageCounter
 import io.guavashore.api.VmId
+import io.guavashore.claims.ClaimKey
+import io.guavashore.claims.ClaimOutcome
+import io.guavashore.claims.RecordedAnswer
 import io.guavashore.membership.Fact
 import io.guavashore.membership.FactVersion
 import io.guavashore.routing.SuspectRecord
@@ -19,7 +22,10 @@
 /** A message; the short serial names keep frames small. */
 @Serializable
 sealed interface ControlMessage {
-    /** An entry's state, sent to its steward every half second or so; answered by [EntryUpdate]. */
+    /**
+     * An entry's state, sent to its steward every second and whenever a request waits; answered by [EntryUpdate].
+     * [inFlight] names leaving targets only, whose stop waits for it.
+     */
     @Serializable
     @SerialName("er")
     data class EntryReport(
@@ -37,7 +43,7 @@
     @SerialName("eu")
     data class EntryUpdate(
         val facts: List<Fact> = emptyList(),
-        val shares: Map<ResourceId, Share> = emptyMap(),
+        val shares: Map<ResourceId, Long> = emptyMap(),
         val entries: List<VmId> = emptyList(),
         val isolated: Boolean = false,
     ) : ControlMessage
@@ -71,10 +77,37 @@
     @Serializable
     @SerialName("sp")
     data class ShareReply(
-        val shares: Map<ResourceId, Share>,
+        val shares: Map<ResourceId, Long>,
         val refused: Boolean = false,
     ) : ControlMessage
 
+    /** Claims an idempotency key; answered by [ClaimReply]. */
+    @Serializable
+    @SerialName("cl")
+    data class ClaimRequest(
+        val key: ClaimKey,
+        val attempt: AttemptId,
+    ) : ControlMessage
+
+    @Serializable
+    @SerialName("cr")
+    data class ClaimReply(
+        val outcome: ClaimOutcome,
+    ) : ControlMessage
+
+    /** Records how a claimed request ended: its answer, or null if it is known not to have run; answered by [Done]. */
+    @Serializable
+    @SerialName("cf")
+    data class ClaimEnd(
+        val key: ClaimKey,
+        val attempt: AttemptId,
+        val answer: RecordedAnswer?,
+    ) : ControlMessage
+
+    @Serializable
+    @SerialName("ok")
+    data object Done : ControlMessage
+
     /** Answer to a message that has no place where it was sent. */
     @Serializable
     @SerialName("no")
--- a/guavashore-wire/src/main/kotlin/io/guavashore/wire/FactKeys.kt
+++ b/guavashore-wire/src/main/kotlin/io/guavashore/wire/FactKeys.kt
@@ -18,9 +18,6 @@
     /** Content: list of `SuspectRecord`; term: incarnation of the VM's steward. */
     const val SUSPECTS = "suspects/"
 
-    /** Content: empty; shows that the VM's steward reaches the platform. */
-    const val PULSE = "pulse/"
-
     /** Content: a `LeaseNotice`; term: fencing number. */
     const val LEADER = "leader/"
 
@@ -36,7 +33,5 @@
 
     fun suspects(vm: VmId) = "$SUSPECTS$vm"
 
-    fun pulse(vm: VmId) = "$PULSE$vm"
-
     fun leader(duty: String) = "$LEADER$duty"
 }
--- a/guavashore-wire/src/main/kotlin/io/guavashore/wire/SharedResources.kt
+++ b/guavashore-wire/src/main/kotlin/io/guavashore/wire/SharedResources.kt
@@ -11,34 +11,25 @@
 
 /** Resources by name. */
 object SharedResources {
-    private const val SLOTS = "slots/"
-
     /** Rates are shared in thousandths per second. */
     const val RATE_UNITS = 1_000L
 
-    fun slots(target: TargetId) = ResourceId("$SLOTS$target")
-
-    /** Target whose slots [resource] stands for, or null if it stands for a limit. */
-    fun targetOf(resource: ResourceId): TargetId? =
-        resource.value
-            .takeIf { it.startsWith(SLOTS) }
-            ?.removePrefix(SLOTS)
-            ?.let(::TargetId)
+    fun slots(target: TargetId) = ResourceId.of("slots/$target")
 
     fun requests(
         team: TeamId,
         organisation: OrganisationId,
-    ) = ResourceId("requests/$team/$organisation")
+    ) = ResourceId.of("requests/$team/$organisation")
 
     fun tokens(
         team: TeamId,
         organisation: OrganisationId,
-    ) = ResourceId("tokens/$team/$organisation")
+    ) = ResourceId.of("tokens/$team/$organisation")
 
     fun concurrency(
         team: TeamId,
         organisation: OrganisationId,
-    ) = ResourceId("concurrency/$team/$organisation")
+    ) = ResourceId.of("concurrency/$team/$organisation")
 
     /** Limits of [organisation] with their totals. */
     fun limits(
