Stragglers by speed, continued elsewhere; experiments on steps and on engine memory

Cause: steps wait for a few samples on a slow engine.

TargetClientTest: a connection to a port whose server was just closed at times was still taken and timed out; the test now uses a port that nobody listens on.

--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/SlotDispatcher.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/SlotDispatcher.kt
@@ -22,6 +22,7 @@
 import io.guavashore.routing.Candidate
 import io.guavashore.routing.OutlierEjection
 import io.guavashore.routing.PickRequest
+import io.guavashore.routing.TargetSpeeds
 import io.guavashore.routing.pickTarget
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
@@ -59,6 +60,7 @@
     private val warmUp = HashMap<TargetId, Long>()
     private var shares: List<TargetShare> = emptyList()
     private val drainRate = DrainRate()
+    private val speeds = TargetSpeeds()
 
     /** Replaces the targets and this entry's limits on them. */
     fun update(newShares: List<TargetShare>) {
@@ -70,6 +72,7 @@
             }
             shares = newShares
             ejection.retain(newShares.map { it.target.id }.toSet())
+            speeds.retain(newShares.map { it.target.id }.toSet())
             warmUp.keys.retainAll(newShares.map { it.target.id }.toSet())
             pump()
         }
@@ -108,6 +111,16 @@
         }
     }
 
+    /** Records that [target] did [work] within [elapsedMs]. */
+    fun noteSpeed(
+        target: TargetId,
+        work: Int,
+        elapsedMs: Long,
+    ) = synchronized(lock) { speeds.record(target, work, elapsedMs) }
+
+    /** Speed of [target] against the fastest of the pool, or null while nothing is known. */
+    fun speedOf(target: TargetId): Double? = synchronized(lock) { speeds.known(target) }
+
     /** Requests of this entry that run on each target. */
     fun inFlight(): Map<TargetId, Int> = synchronized(lock) { outstanding.filterValues { it > 0 } }
 
@@ -183,6 +196,7 @@
                 reportedLoad = share.reportedLoad,
                 ejected = ejection.isEjected(id, nowMs),
                 reserved = id in reserved,
+                speed = speeds.relative(id),
                 warmUp = warmUp[id]?.let { minOf(1.0, (nowMs - it + 1.0) / WARM_UP_MS) } ?: 1.0,
             )
         }
--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/CallRunnerTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/CallRunnerTest.kt
@@ -187,6 +187,7 @@
                             }
                         },
                         newAttemptId = { AttemptId("x") },
+                        clock = { currentTime },
                     )
                 val generation = runner.run(plan(), GenerateRequest(listOf(1), maxTokens = 2)).get()
                 assertEquals(listOf(0, 1), generation?.tokens)
--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
@@ -67,22 +67,25 @@
         if (thenClose) socket.close()
     }
 
-    private fun target() =
+    private fun target(port: Int = server.localPort) =
         Target(
             TargetId("t"),
             TeamId("t"),
             PoolId("p"),
             TargetKind.PLAIN,
             ZoneId("a"),
-            Endpoint("127.0.0.1", server.localPort),
+            Endpoint("127.0.0.1", port),
             1,
             TargetStage.SERVING,
         )
 
-    private fun callPlain(maxAnswerBytes: Long = 1_000): PlainAnswer =
+    private fun callPlain(
+        maxAnswerBytes: Long = 1_000,
+        port: Int = server.localPort,
+    ): PlainAnswer =
         runBlocking {
             val request = PlainRequest("POST", "/order?x=1", "text/plain", null, "body".toByteArray())
-            HttpPlainClient().call(PlainCall(target(), AttemptId("a1"), request, maxAnswerBytes, timeoutMs = 700))
+            HttpPlainClient().call(PlainCall(target(port), AttemptId("a1"), request, maxAnswerBytes, timeoutMs = 700))
         }
 
     private fun generate(produced: List<Int> = emptyList()): List<TokenChunk> =
@@ -149,8 +152,8 @@
         fun `that does not come in time is given up, and no byte of a refused connection counts as sent`() {
             serve("", thenClose = false)
             assertEquals(BreakPoint.TIMEOUT, assertFailsWith<TargetFailure> { callPlain() }.breakPoint)
-            server.close()
-            assertEquals(BreakPoint.CONNECT, assertFailsWith<TargetFailure> { callPlain() }.breakPoint)
+            val unused = ServerSocket(0).use { it.localPort }
+            assertEquals(BreakPoint.CONNECT, assertFailsWith<TargetFailure> { callPlain(port = unused) }.breakPoint)
         }
 
         @Test
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/GenerateRoute.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/GenerateRoute.kt
@@ -198,10 +198,10 @@
         return services.timed(admitted, WorkClass.PUBLIC) {
             services.gate.whileInForce(admitted.team.declaration.team, admitted.caller.key) {
                 services.gate.withinLimits(admitted, body.maxTokens.toLong(), { produced }) {
-                    admitted.pool.generations.run(plan, request) { chunk ->
+                    admitted.pool.generations.run(plan, request, onChunk = { chunk ->
                         produced += chunk.tokens.size
                         onChunk(chunk)
-                    }
+                    })
                 }
             }
         }
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/PoolRuntime.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/PoolRuntime.kt
@@ -58,7 +58,8 @@
             environment.metrics.count("attempts", "pool" to id.value, "outcome" to (broke?.name ?: "OK").lowercase())
         }
 
-    val generations = GenerationRunner(calls, environment.engine, environment.newAttemptId)
+    val generations =
+        GenerationRunner(calls, environment.engine, environment.newAttemptId, environment.clock, dispatcher::noteSpeed)
 
     /** Takes over the pool's targets with what this entry may use of each. */
     fun update(
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/StepRunner.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/StepRunner.kt
@@ -13,13 +13,17 @@
 import io.guavashore.api.OrganisationId
 import io.guavashore.api.Refusal
 import io.guavashore.api.SampleId
+import io.guavashore.api.TargetId
 import io.guavashore.api.TeamId
 import io.guavashore.api.TrainerDeclaration
+import io.guavashore.api.plusTokens
 import io.guavashore.calls.CallPlan
 import io.guavashore.calls.PlainRequest
 import io.guavashore.calls.SlotRequest
+import io.guavashore.calls.TokenChunk
 import io.guavashore.routing.RequestFingerprint
 import io.guavashore.samples.SampleWork
+import io.guavashore.samples.SpeedOf
 import io.guavashore.samples.StepKey
 import io.guavashore.samples.StepRegistry
 import kotlinx.coroutines.CoroutineScope
@@ -46,6 +50,25 @@
     val score: Double,
 )
 
+/** Where a sample runs and what it has so far; a straggler's second attempt goes on from a copy. */
+private class Progress(
+    generation: Generation = Generation(emptyList(), emptyList()),
+) {
+    @Volatile
+    var target: TargetId? = null
+
+    @Volatile
+    var generation = generation
+        private set
+
+    fun add(chunk: TokenChunk) {
+        val before = generation
+        generation = Generation(before.tokens + chunk.tokens, before.spans.plusTokens(chunk.version, chunk.tokens.size))
+    }
+
+    fun copy() = Progress(generation)
+}
+
 /** Runner of all steps of one entry. */
 internal class StepRunner(
     private val registry: StepRegistry,
@@ -77,8 +100,9 @@
     private suspend fun run(key: StepKey) =
         coroutineScope {
             val jobs = ConcurrentHashMap<SampleId, MutableList<Job>>()
+            val progress = ConcurrentHashMap<SampleId, Progress>()
             while (registry.withStep(key) { !it.isComplete() } == true) {
-                startSamples(key, jobs)
+                startSamples(key, jobs, progress)
                 delay(TICK_MS)
             }
             jobs.values.flatten().forEach { it.cancel() }
@@ -87,14 +111,16 @@
     private fun CoroutineScope.startSamples(
         key: StepKey,
         jobs: ConcurrentHashMap<SampleId, MutableList<Job>>,
+        progress: ConcurrentHashMap<SampleId, Progress>,
     ) {
         val team = services.state.team(key.team) ?: return
         val trainer = team.declaration.trainer(key.trainer) ?: return
         val pool = admitted(key.team, trainer, trainer.service.value)?.pool ?: return
         val room = pool.totalSlots() + EXTRA_WAITING - jobs.values.sumOf { started -> started.count { it.isActive } }
+        val speedOf: SpeedOf = { sample -> progress[sample]?.target?.let(pool.dispatcher::speedOf) ?: UNKNOWN_SPEED }
         repeat(maxOf(0, room)) {
-            val work = registry.withStep(key) { it.nextWork(services.clock()) } ?: return
-            val job = launch { runSample(key, trainer, work, jobs) }
+            val work = registry.withStep(key) { it.nextWork(services.clock(), speedOf) } ?: return
+            val job = launch { runSample(key, trainer, work, jobs, progress) }
             jobs.getOrPut(work.sample) { mutableListOf() } += job
         }
     }
@@ -104,8 +130,10 @@
         trainer: TrainerDeclaration,
         work: SampleWork,
         jobs: ConcurrentHashMap<SampleId, MutableList<Job>>,
+        progress: ConcurrentHashMap<SampleId, Progress>,
     ) {
-        val outcome = generate(key, trainer, work)
+        val outcome = generate(key, trainer, work, progress)
+        progress.remove(work.sample)
         val generation = outcome.get()
         val first = registry.withStep(key) { it.generated(work.sample, generation, services.clock()) } ?: return
         if (generation == null) {
@@ -123,6 +151,7 @@
         key: StepKey,
         trainer: TrainerDeclaration,
         work: SampleWork,
+        progress: ConcurrentHashMap<SampleId, Progress>,
     ): Result<Generation, Refusal> {
         val admitted =
             admitted(key.team, trainer, trainer.service.value) ?: return badRequest("the trainer's service is gone")
@@ -135,8 +164,17 @@
                 prefixKey = "${key.step}/${work.group}",
             )
         val fingerprint = RequestFingerprint.of(trainer.organisation, "${work.request}".toByteArray())
+        val plan = CallPlan(slot, fingerprint, idempotent = true)
+        val own = if (work.duplicate) progress[work.sample]?.copy() ?: Progress() else Progress()
+        if (!work.duplicate) progress[work.sample] = own
         return services.timed(admitted, WorkClass.SAMPLES) {
-            admitted.pool.generations.run(CallPlan(slot, fingerprint, idempotent = true), work.request)
+            admitted.pool.generations.run(
+                plan = plan,
+                request = work.request,
+                from = own.generation,
+                onStart = { own.target = it },
+                onChunk = { own.add(it) },
+            )
         }
     }
 
@@ -194,6 +232,7 @@
     }
 
     private companion object {
+        const val UNKNOWN_SPEED = 2.0
         const val TICK_MS = 50L
         const val RETRY_MS = 200L
         const val EXTRA_WAITING = 8
--- a/guavashore-experiment/src/main/kotlin/io/guavashore/experiment/ExperimentMain.kt
+++ b/guavashore-experiment/src/main/kotlin/io/guavashore/experiment/ExperimentMain.kt
@@ -38,12 +38,44 @@
         }
 }
 
+private class EngineMemoryCommand : Subcommand("engine-memory", "How many streams an engine should take, by rule") {
+    private val seeds by option(ArgType.String, "seeds", description = "Seeds").default("1,2,3,4,5")
+    private val sources by option(
+        ArgType.String,
+        "sources",
+        description = "Numbers of the paper's sources",
+    ).default("40,100,200")
+
+    override fun execute() {
+        sources.split(',').forEach { println(Json.encodeToString(checkPaper(it.toInt()))) }
+        seeds.split(',').forEach { seed ->
+            EngineMemoryExperiment(seed = seed.toInt()).run().forEach { println(Json.encodeToString(it)) }
+        }
+    }
+}
+
+private class StepsCommand :
+    Subcommand("steps", "A trainer's steps under the chosen policy, its parts and a baseline") {
+    private val seeds by option(ArgType.String, "seeds", description = "Seeds").default("1,2,3,4,5")
+
+    override fun execute() =
+        StepPolicy.all.forEach { policy ->
+            seeds.split(',').forEach { println(Json.encodeToString(StepExperiment(policy, it.toInt()).run())) }
+        }
+}
+
 private fun pairs(text: String): List<Pair<Int, Int>> =
     text.split(',').map { it.substringBefore('x').toInt() to it.substringAfter('x').toInt() }
 
 @OptIn(ExperimentalCli::class)
 fun main(args: Array<String>) {
     val parser = ArgParser("guavashore-experiment")
-    parser.subcommands(FleetCommand(), SampleMemoryCommand(), ReportSizeCommand())
+    parser.subcommands(
+        FleetCommand(),
+        SampleMemoryCommand(),
+        ReportSizeCommand(),
+        EngineMemoryCommand(),
+        StepsCommand(),
+    )
     parser.parse(args)
 }
--- a/guavashore-routing/src/main/kotlin/io/guavashore/routing/TargetPicker.kt
+++ b/guavashore-routing/src/main/kotlin/io/guavashore/routing/TargetPicker.kt
@@ -17,6 +17,7 @@
  * @property limit how many of them this entry's share allows
  * @property reportedLoad load as the target last reported it, 0.0 idle to 1.0 full; lags
  * @property reserved true while a suspect runs there alone
+ * @property speed relative to the fastest target of the pool, above 0 and at most 1
  */
 data class Candidate(
     val target: Target,
@@ -26,6 +27,7 @@
     val ejected: Boolean = false,
     val reserved: Boolean = false,
     val warmUp: Double = 1.0,
+    val speed: Double = 1.0,
 )
 
 /** What an attempt asks of its target. */
@@ -57,7 +59,7 @@
 
 private fun Candidate.warmLimit(): Int = if (limit == 0) 0 else maxOf(1, (limit * warmUp).toInt())
 
-private fun Candidate.load(): Double = (outstanding + 1.0) / limit + REPORTED_LOAD_WEIGHT * reportedLoad
+private fun Candidate.load(): Double = (outstanding + 1.0) / (limit * speed) + REPORTED_LOAD_WEIGHT * reportedLoad
 
 private val byLoad = compareBy<Candidate>({ it.load() }, { it.target.id })
 
--- a/guavashore-routing/src/test/kotlin/io/guavashore/routing/TargetPickerTest.kt
+++ b/guavashore-routing/src/test/kotlin/io/guavashore/routing/TargetPickerTest.kt
@@ -65,6 +65,30 @@
         }
     }
 
+    @Nested
+    inner class `a slow target` {
+        @Test
+        fun `gets less than the others, by as much as it is slower`() {
+            val slow = candidate("a", outstanding = 2).copy(speed = 0.5)
+            val picked = { outstanding: Int ->
+                pickTarget(listOf(slow, candidate("b", outstanding = outstanding)), PickRequest(home))
+            }
+            assertEquals("b", picked(4)?.target?.id?.value)
+            assertEquals("a", picked(6)?.target?.id?.value)
+        }
+
+        @Test
+        fun `is known from finished work against the fastest`() {
+            val speeds = TargetSpeeds()
+            repeat(20) {
+                speeds.record(TargetId("fast"), work = 100, elapsedMs = 1_000)
+                speeds.record(TargetId("slow"), work = 25, elapsedMs = 1_000)
+            }
+            assertEquals(0.25, speeds.relative(TargetId("slow")), absoluteTolerance = 0.01)
+            assertEquals(1.0, speeds.relative(TargetId("unknown")))
+        }
+    }
+
     @Nested
     inner class `zones` {
         @Test
--- a/guavashore-samples/src/main/kotlin/io/guavashore/samples/StepState.kt
+++ b/guavashore-samples/src/main/kotlin/io/guavashore/samples/StepState.kt
@@ -14,10 +14,21 @@
 import io.guavashore.api.TrainerId
 import io.guavashore.api.WeightVersion
 
-/** When stragglers are run a second time. */
+/**
+ * Speed of the target that a sample runs on, against the fastest of its pool, at most 1; above 1 if it is not known.
+ */
+typealias SpeedOf = (SampleId) -> Double
+
+/**
+ * When stragglers are run a second time: those on a target slower than [slowSpeed], and those that take
+ * [slowFactor] times as long as most unless their target is known to be faster than [goodSpeed], where they are
+ * just long.
+ */
 data class StragglerTerms(
     val minFinishedShare: Double = 0.5,
     val slowFactor: Double = 1.8,
+    val slowSpeed: Double = 0.6,
+    val goodSpeed: Double = 0.9,
     val maxDuplicatedShare: Double = 0.05,
 )
 
@@ -103,9 +114,12 @@
     }
 
     /** Next sample to start, group by group; once none waits, a straggler to run a second time; else null. */
-    fun nextWork(nowMs: Long): SampleWork? {
+    fun nextWork(
+        nowMs: Long,
+        speedOf: SpeedOf = { UNKNOWN_SPEED },
+    ): SampleWork? {
         val waiting = entries.values.firstNotNullOfOrNull { group -> group.firstOrNull { it.phase == Phase.WAITING } }
-        val entry = waiting ?: straggler(nowMs) ?: return null
+        val entry = waiting ?: straggler(nowMs, speedOf) ?: return null
         val duplicate = entry.attempts > 0
         if (duplicate) {
             duplicated++
@@ -234,15 +248,25 @@
     private fun isLabelled(generation: Generation) =
         generation.tokens.isNotEmpty() && generation.spans.sumOf { it.count } == generation.tokens.size
 
-    private fun straggler(nowMs: Long): Entry? {
+    private fun straggler(
+        nowMs: Long,
+        speedOf: SpeedOf,
+    ): Entry? {
         if (durationsMs.size < total * stragglers.minFinishedShare) return null
         if (duplicated >= maxOf(1.0, total * stragglers.maxDuplicatedShare)) return null
         return entries.values
             .flatten()
-            .filter { it.attempts == 1 && !it.everDuplicated && isSlow(it, nowMs) }
+            .filter { it.phase == Phase.RUNNING && it.attempts == 1 && !it.everDuplicated }
+            .filter { isStraggler(it, speedOf(it.id), nowMs) }
             .minByOrNull { it.startedAtMs }
     }
 
+    private fun isStraggler(
+        entry: Entry,
+        speed: Double,
+        nowMs: Long,
+    ): Boolean = speed < stragglers.slowSpeed || (speed !in stragglers.goodSpeed..KNOWN_SPEED && isSlow(entry, nowMs))
+
     private fun isSlow(
         entry: Entry,
         nowMs: Long,
@@ -258,6 +282,8 @@
     }
 
     private companion object {
+        const val UNKNOWN_SPEED = 2.0
+        const val KNOWN_SPEED = 1.0
         const val TYPICAL_PERCENTILE = 75
         const val PERCENT = 100
     }
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/EngineModel.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/EngineModel.kt
@@ -22,3 +22,8 @@
 
 /** Prompts with this token crash the engine that runs them. */
 const val POISON_TOKEN = 666
+
+/** Prompts with this token get a token only every [SLOW_TICKS] ticks. */
+const val SLOW_TOKEN = 555
+
+internal const val SLOW_TICKS = 512
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/LoadDriver.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/LoadDriver.kt
@@ -68,6 +68,7 @@
             engine {
                 requestTimeout = 0
                 maxConnectionsCount = CONNECTIONS
+                endpoint.maxConnectionsPerRoute = CONNECTIONS
             }
         }
 
@@ -78,6 +79,7 @@
         print(compare("plain call", { price(directPrice) }, { price(entryPrice) }))
         compare("warm-up", { direct() }, { streamed() }, TOKENS)
         print(compare("stream of $TOKENS tokens", { direct() }, { streamed() }, TOKENS))
+        delay(SETTLE_MS)
         println(Json.encodeToString(idle("steward, no change", setup.stewardPid)))
         println(Json.encodeToString(idle("entry, no calls", setup.entryPid)))
         println(Json.encodeToString(manyStreams()))
@@ -180,7 +182,7 @@
     private suspend fun manyStreams(): ProcessFigures =
         coroutineScope {
             val open = AtomicInteger()
-            val body = """{"prompt":[1],"max_tokens":30000,"stream":true}"""
+            val body = """{"prompt":[$SLOW_TOKEN],"max_tokens":30000,"stream":true}"""
             val streams =
                 List(setup.openStreams) {
                     launch {
@@ -227,6 +229,7 @@
         const val CALLS_PER_ROUND = 60
         const val STREAMS_PER_ROUND = 6
         const val TOKENS = 64
+        const val SETTLE_MS = 15_000L
         const val IDLE_MS = 10_000L
         const val OPEN_TRIES = 150
         const val OPEN_POLL_MS = 200L
--- a/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinEngine.kt
+++ b/guavashore-standin/src/main/kotlin/io/guavashore/standin/StandinEngine.kt
@@ -185,13 +185,17 @@
     }
 
     private suspend fun runTicks() {
+        var tick = 0L
         while (isUp) {
             delay(traits.tickMs)
+            tick++
             sequences.removeIf { it.cancelled }
-            if (!loading) sequences.take(traits.slots).forEach(::step)
+            if (!loading) sequences.take(traits.slots).filter { it.isDue(tick) }.forEach(::step)
         }
     }
 
+    private fun Sequence.isDue(tick: Long) = SLOW_TOKEN !in request.prompt || next == 0 || tick % SLOW_TICKS == 0L
+
     private fun step(sequence: Sequence) {
         val request = sequence.request
         val attempt = request.attempt
