--- a/guavashore-acceptance/src/test/kotlin/io/guavashore/acceptance/FailureAcceptanceTest.kt
+++ b/guavashore-acceptance/src/test/kotlin/io/guavashore/acceptance/FailureAcceptanceTest.kt
@@ -1,6 +1,8 @@
 package io.guavashore.acceptance
 
 import io.guavashore.api.TargetId
+import io.guavashore.api.TargetKind
+import io.guavashore.api.ZoneId
 import io.guavashore.standin.POISON_TOKEN
 import io.guavashore.standin.StandinPlainService
 import io.guavashore.testing.StoreFault
@@ -108,6 +110,30 @@
         await("stop of the drained target", 20_000) { !busiest.isUp }
     }
 
+    @Test
+    fun `a reclaimed zone's targets are replaced by regular ones, and their streams go on elsewhere`() {
+        await("two engines", 30_000) { system.fleet.engines().count { it.isUp } >= 2 }
+        val streams = List(4) { system.stream(system.vms[it % 2], tokens = 1_500, prompt = listOf(it + 1)) }
+        await("streams", 10_000) { streams.all { it.lines.isNotEmpty() } }
+        system.fleet.noCheap = true
+        try {
+            val reclaimed = system.fleet.reclaim(ZoneId("az-1"), noticeMs = 5_000)
+            assertTrue(reclaimed >= 2, "$reclaimed targets were cheap")
+            await("regular engines", 20_000) {
+                system.fleet.list(ZoneId("az-1")).count {
+                    !it.cheap &&
+                        it.kind == TargetKind.MODEL
+                } >=
+                    2
+            }
+            await({
+                "whole streams: ${streams.map { "${it.lines.size} ${it.lines.last()}" }}"
+            }, 60_000) { streams.all { it.isWhole } }
+        } finally {
+            system.fleet.noCheap = false
+        }
+    }
+
     @Test
     fun `an entry that is stopped finishes its streams first`() {
         val vm = system.vms[1]
--- a/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/ReadCommands.kt
+++ b/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/ReadCommands.kt
@@ -8,7 +8,8 @@
 import io.guavashore.platform.UsageLine
 import io.guavashore.settings.readDeclaration
 import io.guavashore.usage.SealedWindow
-import io.guavashore.usage.sealedPrefix
+import io.guavashore.usage.TeamWindows
+import io.guavashore.usage.teamWindowsPath
 import kotlinx.cli.ArgType
 import java.time.Instant
 
@@ -56,9 +57,8 @@
     private val team by argument(ArgType.String, "team", "Team")
 
     override suspend fun run() {
-        val stored = platform.store.list(sealedPrefix(TeamId(team))).getOrElse { fail(ExitCode.STORE, it.message) }
-        val windows =
-            stored.map { prettyJson.decodeFromString<SealedWindow>(it.value) }.sortedBy { it.report.windowStartMs }
+        val stored = platform.store.read(teamWindowsPath(TeamId(team))).getOrElse { fail(ExitCode.STORE, it.message) }
+        val windows = stored?.let { prettyJson.decodeFromString<TeamWindows>(it.value) }?.windows.orEmpty()
         val human = windows.joinToString("\n", transform = ::describe)
         print(human) { prettyJson.encodeToString(windows) }
     }
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
@@ -166,7 +166,10 @@
                 zone = settings.zone,
                 revisions = state.teams().associate { it.declaration.team to it.snapshot.revision },
                 openCalls = front.openCalls,
-                steps = registry.keys().mapNotNull { key -> registry.withStep(key) { it.status(clock()) } },
+                steps =
+                    registry.keys().mapNotNull { key ->
+                        registry.withStep(key) { it.status(clock(), wallClock()) }
+                    },
                 targets =
                     state.teams().flatMap { it.pools.values }.flatMap { it.dispatcher.targets() }.map {
                         TargetUse(it.target.id, it.target.stage, it.limit)
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/StepRoutes.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/StepRoutes.kt
@@ -84,7 +84,7 @@
 
     suspend fun status(call: ApplicationCall) {
         val authorised = authorise(call).getOrElse { return call.respondProblem(it) }
-        val status = registry.withStep(authorised.key) { it.status(services.clock()) }
+        val status = registry.withStep(authorised.key) { it.status(services.clock(), services.wallClock()) }
         if (status == null) return call.respondProblem(StepError.Unknown.toRefusal())
         call.respondJson(apiJson.encodeToString(status))
     }
--- a/guavashore-samples/src/main/kotlin/io/guavashore/samples/StepRequest.kt
+++ b/guavashore-samples/src/main/kotlin/io/guavashore/samples/StepRequest.kt
@@ -77,7 +77,7 @@
     val complete: Boolean,
 )
 
-/** Progress of a step. */
+/** Progress of a step; [expectedEndMs] is the Unix time at which it will be whole at the present rate. */
 @Serializable
 data class StepStatus(
     val trainer: TrainerId,
--- a/guavashore-samples/src/main/kotlin/io/guavashore/samples/StepState.kt
+++ b/guavashore-samples/src/main/kotlin/io/guavashore/samples/StepState.kt
@@ -197,7 +197,11 @@
     fun hasWholeGroup(except: Set<GroupId>): Boolean =
         entries.any { (id, group) -> id !in except && group.all { it.phase == Phase.FINISHED } }
 
-    fun status(nowMs: Long): StepStatus {
+    /** Progress at [nowMs]; [wallNowMs] is the same moment in Unix time. */
+    fun status(
+        nowMs: Long,
+        wallNowMs: Long = nowMs,
+    ): StepStatus {
         val left = entries.values.flatten()
         val finished = total - left.count { it.phase != Phase.FINISHED }
         return StepStatus(
@@ -212,11 +216,11 @@
             duplicated = duplicated,
             wastedTokens = wastedTokens,
             stragglers = left.filter { isSlow(it, nowMs) }.map { it.id },
-            expectedEndMs = expectedEndMs(finished, nowMs),
+            expectedEndMs = expectedRestMs(finished, nowMs)?.let { wallNowMs + it },
         )
     }
 
-    private fun expectedEndMs(
+    private fun expectedRestMs(
         finished: Int,
         nowMs: Long,
     ): Long? = if (finished == 0) null else (nowMs - startedAtMs) * (total - finished) / finished
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/Duties.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/Duties.kt
@@ -79,7 +79,7 @@
                 usageAtMs = clock()
                 guarded("usage") { usage.write() }
             }
-            delay(STEP_MS)
+            delay(ZONE_STEP_MS)
         }
     }
 
@@ -97,7 +97,7 @@
             }
             current = held
             guarded("coordinator") { coordinator?.step() }
-            delay(STEP_MS)
+            delay(COORDINATOR_STEP_MS)
         }
     }
 
@@ -116,7 +116,8 @@
     }
 
     private companion object {
-        const val STEP_MS = 500L
+        const val ZONE_STEP_MS = 1_000L
+        const val COORDINATOR_STEP_MS = 2_000L
         const val USAGE_EVERY_MS = 3_000L
     }
 }
--- a/guavashore-usage/src/main/kotlin/io/guavashore/usage/SealedWindow.kt
+++ b/guavashore-usage/src/main/kotlin/io/guavashore/usage/SealedWindow.kt
@@ -1,5 +1,5 @@
 /*
- * Figures of a window, fixed for good by one conditional create in the platform's store.
+ * Figures of a window, fixed for good by one conditional update in the platform's store.
  */
 package io.guavashore.usage
 
@@ -40,13 +40,13 @@
 
 fun zoneUsagePath(zone: ZoneId) = ObjectPath("$ZONE_USAGE_PREFIX$zone")
 
-/** Prefix of a team's sealed windows. */
-fun sealedPrefix(team: TeamId) = "usage/sealed/$team/"
+/** Newest sealed windows of a team, oldest first; one object, so that the store's calls do not grow with time. */
+@Serializable
+data class TeamWindows(
+    val windows: List<SealedWindow> = emptyList(),
+)
 
-fun sealedPath(
-    team: TeamId,
-    windowStartMs: Long,
-) = ObjectPath("${sealedPrefix(team)}$windowStartMs")
+fun teamWindowsPath(team: TeamId) = ObjectPath("usage/windows/$team")
 
 /**
  * Figures of the window that starts at the report's start, from all [counters] known now and the windows [sealed]
--- a/guavashore-usage/src/main/kotlin/io/guavashore/usage/UsageReporter.kt
+++ b/guavashore-usage/src/main/kotlin/io/guavashore/usage/UsageReporter.kt
@@ -1,6 +1,6 @@
 /*
  * Reports windows of usage. Runs only on the holder of the reporter's lease; even if two processes believe that they
- * are, the conditional create of the sealed window lets only one set of figures come to be.
+ * are, the conditional update that seals a window lets only one set of figures come to be.
  */
 package io.guavashore.usage
 
@@ -16,7 +16,6 @@
 import io.guavashore.platform.ObjectStore
 import io.guavashore.platform.ObjectVersion
 import io.guavashore.platform.SendUsage
-import io.guavashore.platform.StoredObject
 import io.guavashore.platform.UsageReport
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
@@ -38,35 +37,37 @@
     private val clock: MonotonicClock,
     private val graceMs: Long = 10_000,
     private val sendTimeoutMs: Long = 2_000,
-    private val windowsKept: Int = 10,
+    private val windowsKept: Int = 20,
 ) {
-    /** Seals the windows that are due and sends what is sealed but not sent. */
+    /** Takes one step for each team. */
     suspend fun step(schedules: List<UsageSchedule>) {
         if (held() == null) return
         val counters = readCounters() ?: return
         schedules.forEach { step(it, counters) }
     }
 
+    /**
+     * Sends the team's oldest window that is not sent; if there is none or it can't be sent, seals the next one that
+     * is due.
+     */
     private suspend fun step(
         schedule: UsageSchedule,
         counters: List<UsageCounter>,
     ) {
-        val stored = store.list(sealedPrefix(schedule.team)).getOrElse { return }
-        val sealed =
-            stored
-                .map {
-                    it to Json.decodeFromString<SealedWindow>(it.value)
-                }.sortedBy { it.second.report.windowStartMs }
-        sealed.filterNot { it.second.sent }.forEach { (found, window) -> sendSealed(found, window) }
-        val newest =
-            sealed
-                .lastOrNull()
-                ?.second
-                ?.report
-                ?.windowStartMs
+        val path = teamWindowsPath(schedule.team)
+        val found = store.read(path).getOrElse { return }
+        val windows = found?.let { Json.decodeFromString<TeamWindows>(it.value) }?.windows.orEmpty()
+        val version = found?.version ?: ObjectVersion.ABSENT
+        val unsent = windows.firstOrNull { !it.sent }
+        if (unsent != null && sendSealed(schedule.team, unsent, windows, version)) return
+        val newest = windows.lastOrNull()?.report?.windowStartMs
         val next = nextWindowMs(schedule, counters, newest) ?: return
         if (wallClock() < next + schedule.windowMs + graceMs) return
-        seal(schedule, next, counters, sealed.takeLast(windowsKept).map { it.second })
+        val sealed = seal(schedule, next, counters, windows) ?: return
+        // Not sent from here: the next step reads back what was sealed, be it by this process or by another.
+        val kept =
+            windows.filterIndexed { index, window -> !window.sent || index >= windows.size - windowsKept } + sealed
+        store.write(path, Json.encodeToString(TeamWindows(kept)), version)
     }
 
     /** First window with usage after the [newest] sealed one, or the one after it if that is long over. */
@@ -86,13 +87,13 @@
         newest: Long,
     ) = counters.any { it.key.team == schedule.team && it.key.windowStartMs <= newest }
 
-    private suspend fun seal(
+    private fun seal(
         schedule: UsageSchedule,
         startMs: Long,
         counters: List<UsageCounter>,
         sealed: List<SealedWindow>,
-    ) {
-        val lease = held() ?: return
+    ): SealedWindow? {
+        val lease = held() ?: return null
         val empty =
             UsageReport(
                 team = schedule.team,
@@ -101,26 +102,26 @@
                 fencingNumber = lease.fencingNumber,
                 lines = emptyList(),
             )
-        val window = sealWindow(empty, counters, sealed)
-        if (window.report.lines.isEmpty()) return
-        val path = sealedPath(schedule.team, startMs)
-        // Not sent from here: the next step reads back what was sealed, be it by this process or by another.
-        store.write(path, Json.encodeToString(window), ObjectVersion.ABSENT)
+        return sealWindow(empty, counters, sealed).takeIf { it.report.lines.isNotEmpty() }
     }
 
+    /** True if the report was taken and the windows were written anew. */
     private suspend fun sendSealed(
-        found: StoredObject,
+        team: TeamId,
         window: SealedWindow,
-    ) {
-        val lease = held() ?: return
-        if (lease.untilMs - clock() < sendTimeoutMs) return
-        val report = window.report
-        val outcome = withTimeoutOrNull(sendTimeoutMs) { send(report) } ?: return
-        outcome
+        windows: List<SealedWindow>,
+        version: ObjectVersion,
+    ): Boolean {
+        val lease = held() ?: return false
+        if (lease.untilMs - clock() < sendTimeoutMs) return false
+        val outcome = withTimeoutOrNull(sendTimeoutMs) { send(window.report) } ?: return false
+        return outcome
             .onSuccess {
-                store.write(found.path, Json.encodeToString(window.copy(sent = true)), found.version)
-                log.info { "usage reported: ${report.team}, window ${report.windowStartMs}" }
+                val marked = windows.map { if (it == window) it.copy(sent = true) else it }
+                store.write(teamWindowsPath(team), Json.encodeToString(TeamWindows(marked)), version)
+                log.info { "usage reported: $team, window ${window.report.windowStartMs}" }
             }.onFailure { log.warn { "usage not reported yet: ${it.message}" } }
+            .isOk
     }
 
     private suspend fun readCounters(): List<UsageCounter>? {
--- a/guavashore-usage/src/test/kotlin/io/guavashore/usage/UsageReporterTest.kt
+++ b/guavashore-usage/src/test/kotlin/io/guavashore/usage/UsageReporterTest.kt
@@ -90,6 +90,28 @@
             )
         }
 
+    @Nested
+    inner class `an intake that is down` {
+        @Test
+        fun `for longer than counters are kept costs no usage`() =
+            runTest {
+                answerLost = true
+                val reporter = reporter()
+                repeat(40) {
+                    use(tokens = 10)
+                    clock.advanceMs(30_000)
+                    reporter.step(listOf(schedule))
+                }
+                answerLost = false
+                repeat(60) {
+                    clock.advanceMs(5_000)
+                    reporter.step(listOf(schedule))
+                }
+                assertEquals(400, billedTokens())
+                assertSameFiguresPerWindow()
+            }
+    }
+
     @Nested
     inner class `usage that comes late` {
         @Test
