--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
@@ -11,6 +11,8 @@
 import io.guavashore.api.TeamId
 import io.guavashore.api.ZoneId
 import io.guavashore.api.systemMonotonicClock
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
 import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
@@ -30,7 +32,7 @@
  * still.
  */
 class TargetClientTest {
-    private val client = targetHttpClient()
+    private val client = HttpClient(CIO) { engine { limitConnections(this) } }
     private val requests = mutableListOf<String>()
     private val connections = AtomicInteger()
     private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
--- a/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/CtlMain.kt
+++ b/guavashore-ctl/src/main/kotlin/io/guavashore/ctl/CtlMain.kt
@@ -4,11 +4,10 @@
 package io.guavashore.ctl
 
 import io.guavashore.metrics.configureLogs
+import io.guavashore.process.VERSION
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 
-private const val VERSION = "0.1.0"
-
 private val examples =
     """
     Examples:
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
@@ -3,7 +3,6 @@
  */
 package io.guavashore.entry
 
-import arrow.fx.coroutines.resourceScope
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.AttemptId
 import io.guavashore.api.CounterSource
@@ -15,19 +14,14 @@
 import io.guavashore.calls.HttpEngineClient
 import io.guavashore.calls.HttpPlainClient
 import io.guavashore.calls.SuspectGuard
-import io.guavashore.calls.targetHttpClient
+import io.guavashore.calls.limitConnections
 import io.guavashore.metrics.Metrics
 import io.guavashore.metrics.OperationsServer
-import io.guavashore.metrics.StopSignal
+import io.guavashore.process.ProcessResources
+import io.guavashore.process.withProcessResources
 import io.guavashore.samples.StepRegistry
 import io.guavashore.settings.NodeSettings
 import io.guavashore.usage.UsageLedger
-import io.ktor.client.HttpClient
-import io.ktor.network.selector.SelectorManager
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -44,44 +38,27 @@
     private val incarnation = Incarnation(wallClock())
     private val attempts = AtomicLong()
     private val metrics = Metrics()
-    private val stop = StopSignal()
 
     /** Runs until SIGTERM, then finishes the calls that are open and leaves. */
-    suspend fun run() =
-        resourceScope {
-            val scope =
-                install({ CoroutineScope(SupervisorJob() + Dispatchers.Default) }) { opened, _ -> opened.cancel() }
-            val selector = install({ SelectorManager(Dispatchers.IO) }) { opened, _ -> opened.close() }
-            val client = install({ targetHttpClient() }) { opened, _ -> opened.close() }
-            try {
-                serve(scope, selector, client)
-            } finally {
-                stop.finished()
-            }
-        }
+    suspend fun run() = withProcessResources(::limitConnections) { serve(it) }
 
-    private suspend fun serve(
-        scope: CoroutineScope,
-        selector: SelectorManager,
-        client: HttpClient,
-    ) {
-        val engine = HttpEngineClient(client, clock)
+    private suspend fun serve(resources: ProcessResources) {
+        val scope = resources.scope
         val guard = SuspectGuard(clock)
         lateinit var link: StewardLink
-        val environment =
-            PoolEnvironment(
-                zone = settings.zone,
-                clock = clock,
-                guard = guard,
-                engine = engine::generate,
-                isUp = engine::isUp,
-                newAttemptId = ::newAttemptId,
-                metrics = metrics,
-                onWaiting = { link.wake() },
-            )
-        val state = EntryState(settings.vm, environment)
+        val state = EntryState(settings.vm, environment(resources, guard) { link.wake() })
         val ledger = UsageLedger(CounterSource(settings.vm, incarnation), wallClock)
-        link = StewardLink(settings.vm, incarnation, settings.entryStewards, state, guard, ledger, clock, selector)
+        link =
+            StewardLink(
+                settings.vm,
+                incarnation,
+                settings.entryStewards,
+                state,
+                guard,
+                ledger,
+                clock,
+                resources.selector,
+            )
         val gate = Gate(state)
         val services =
             EntryServices(
@@ -112,9 +89,8 @@
         scope.launch { link.run() }
         scope.launch { housekeeping(state, steps) }
         log.info { "entry of ${settings.vm} in ${settings.zone} serves at ${settings.entryListen}" }
-        stop.await()
+        resources.stop.await()
         gate.isShuttingDown = true
-        log.info { "stopping: ${front.openCalls} calls to finish" }
         finishCalls(front, registry)
         link.reportOnce()
         front.stop()
@@ -122,6 +98,24 @@
         log.info { "stopped" }
     }
 
+    private fun environment(
+        resources: ProcessResources,
+        guard: SuspectGuard,
+        onWaiting: () -> Unit,
+    ): PoolEnvironment {
+        val engine = HttpEngineClient(resources.client, clock)
+        return PoolEnvironment(
+            zone = settings.zone,
+            clock = clock,
+            guard = guard,
+            engine = engine::generate,
+            isUp = engine::isUp,
+            newAttemptId = ::newAttemptId,
+            metrics = metrics,
+            onWaiting = onWaiting,
+        )
+    }
+
     private suspend fun housekeeping(
         state: EntryState,
         steps: StepRunner,
@@ -138,6 +132,7 @@
         front: HttpFront,
         registry: StepRegistry,
     ) {
+        log.info { "stopping: ${front.openCalls} calls to finish" }
         withTimeoutOrNull(settings.drainTimeoutMs) {
             delay(BALANCER_MS)
             while (front.openCalls > 0) delay(DRAIN_POLL_MS)
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/EntryMain.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/EntryMain.kt
@@ -3,26 +3,6 @@
  */
 package io.guavashore.entry
 
-import com.github.michaelbull.result.getOrElse
-import io.guavashore.metrics.configureLogs
-import io.guavashore.settings.EXIT_SETTINGS
-import io.guavashore.settings.LogFormat
-import io.guavashore.settings.readNodeSettingsFile
-import kotlinx.cli.ArgParser
-import kotlinx.cli.ArgType
-import kotlinx.cli.required
-import kotlinx.coroutines.runBlocking
-import kotlin.system.exitProcess
+import io.guavashore.process.processMain
 
-fun main(args: Array<String>) {
-    val parser = ArgParser("guavashore-entry")
-    val path by parser.option(ArgType.String, "settings", "s", "Settings file of this VM (TOML)").required()
-    parser.parse(args)
-    val settings =
-        readNodeSettingsFile(path).getOrElse { message ->
-            System.err.println(message)
-            exitProcess(EXIT_SETTINGS)
-        }
-    configureLogs(json = settings.logFormat == LogFormat.JSON, level = settings.logLevel)
-    runBlocking { Entry(settings).run() }
-}
+fun main(args: Array<String>) = processMain("guavashore-entry", args) { Entry(it).run() }
--- a/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseKeeper.kt
+++ b/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseKeeper.kt
@@ -44,7 +44,7 @@
     suspend fun run() {
         while (true) {
             if (held() != null || isCandidate()) step()
-            delay(pollMs)
+            delay(IDLE_POLL_MS)
         }
     }
 
@@ -105,5 +105,6 @@
 
     private companion object {
         const val RECORD_STEPS = 10
+        const val IDLE_POLL_MS = 500L
     }
 }
--- a/guavashore-metrics/src/main/kotlin/io/guavashore/metrics/StopSignal.kt
+++ b/guavashore-process/src/main/kotlin/io/guavashore/process/StopSignal.kt
@@ -1,7 +1,7 @@
 /*
  * SIGTERM as something to wait for.
  */
-package io.guavashore.metrics
+package io.guavashore.process
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.runBlocking
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/MembershipService.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/MembershipService.kt
@@ -141,7 +141,7 @@
     }
 
     private companion object {
-        const val TICK_MS = 100L
+        const val TICK_MS = 200L
         const val ISOLATED_AFTER_MS = 30_000L
     }
 }
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/Steward.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/Steward.kt
@@ -3,7 +3,6 @@
  */
 package io.guavashore.steward
 
-import arrow.fx.coroutines.resourceScope
 import com.github.michaelbull.result.get
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.Incarnation
@@ -21,22 +20,16 @@
 import io.guavashore.membership.MemberRecord
 import io.guavashore.metrics.Metrics
 import io.guavashore.metrics.OperationsServer
-import io.guavashore.metrics.StopSignal
 import io.guavashore.platform.HttpPlatform
 import io.guavashore.platform.ObjectPath
 import io.guavashore.platform.Platform
+import io.guavashore.process.ProcessResources
+import io.guavashore.process.withProcessResources
 import io.guavashore.settings.NodeSettings
 import io.guavashore.usage.UsageMerge
 import io.guavashore.wire.ControlMessage
 import io.guavashore.wire.ControlServer
 import io.guavashore.wire.FactKeys
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.network.selector.SelectorManager
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -52,31 +45,16 @@
 ) {
     private val incarnation = Incarnation(wallClock())
     private val metrics = Metrics()
-    private val stop = StopSignal()
     private val merge = UsageMerge()
     private val state = StewardState(settings.vm)
 
     /** Runs until SIGTERM. */
-    suspend fun run() =
-        resourceScope {
-            val scope =
-                install({ CoroutineScope(SupervisorJob() + Dispatchers.Default) }) { opened, _ -> opened.cancel() }
-            val selector = install({ SelectorManager(Dispatchers.IO) }) { opened, _ -> opened.close() }
-            val client = install({ httpClient() }) { opened, _ -> opened.close() }
-            try {
-                serve(scope, selector, client)
-            } finally {
-                stop.finished()
-            }
-        }
+    suspend fun run() = withProcessResources { serve(it) }
 
-    private suspend fun serve(
-        scope: CoroutineScope,
-        selector: SelectorManager,
-        client: HttpClient,
-    ) {
-        val platform = HttpPlatform(client, settings.platformUrl).platform
-        val peers = Peers(selector)
+    private suspend fun serve(resources: ProcessResources) {
+        val scope = resources.scope
+        val platform = HttpPlatform(resources.client, settings.platformUrl).platform
+        val peers = Peers(resources.selector)
         val membership = MembershipService(selfRecord(), state.facts, peers, clock, scope)
         val duties =
             Duties(settings.zone, state, platform, merge, metrics, clock, wallClock) {
@@ -90,14 +68,18 @@
             }
         val desk = EntryDesk(deskView(membership, duties), state.facts, merge, peers, clock)
         val claims = ClaimKeeper(platform.store, wallClock)
-        membership.start(settings.stewardControl, selector)
-        val server = ControlServer.bind(settings.stewardControl, selector) { handle(it, desk, duties, claims) }
+        membership.start(settings.stewardControl, resources.selector)
+        val server =
+            ControlServer.bind(
+                settings.stewardControl,
+                resources.selector,
+            ) { handle(it, desk, duties, claims) }
         scope.launch { server.run() }
         scope.launch { relay.run() }
         scope.launch { keepHints(platform, membership, peers) }
         scope.launch { zoneLease.run() }
         scope.launch { coordinatorLease.run() }
-        scope.launch { duties.runZone(zoneLease, HttpEngineControl(client).control) }
+        scope.launch { duties.runZone(zoneLease, HttpEngineControl(resources.client).control) }
         scope.launch { duties.runCoordinator(coordinatorLease) }
         val operations =
             OperationsServer(settings.stewardOperations, metrics, ::notReady) {
@@ -106,7 +88,7 @@
         registerGauges(membership, duties)
         operations.start()
         log.info { "steward of ${settings.vm} in ${settings.zone} serves at ${settings.stewardControl}" }
-        stop.await()
+        resources.stop.await()
         membership.leave()
         operations.close()
         scope.coroutineContext.cancelChildren()
@@ -241,13 +223,6 @@
         metrics.gauge("coordinator.leader") { if (duties.coordinates) 1.0 else 0.0 }
     }
 
-    private fun httpClient() =
-        HttpClient(CIO) {
-            expectSuccess = false
-            followRedirects = false
-            engine { requestTimeout = 0 }
-        }
-
     private companion object {
         const val HINT_EVERY_MS = 2_000L
         const val CANDIDATES_PER_DUTY = 3
