--- a/guavashore-configuration/src/main/kotlin/io/guavashore/configuration/AdoptedConfiguration.kt
+++ b/guavashore-configuration/src/main/kotlin/io/guavashore/configuration/AdoptedConfiguration.kt
@@ -48,6 +48,19 @@
         return Adoption.ADOPTED
     }
 
+    /** Records that [revision] can't even be read here; the one in force stays. */
+    fun reject(
+        team: TeamId,
+        revision: Revision,
+        reason: String,
+    ) {
+        synchronized(inForce) {
+            val current = inForce[team]?.revision
+            if (current != null && revision <= current) return
+            rejected[team] = RevisionStatus(team, current, revision, reason)
+        }
+    }
+
     operator fun get(team: TeamId): TeamSnapshot? = synchronized(inForce) { inForce[team] }
 
     fun all(): List<TeamSnapshot> = synchronized(inForce) { inForce.values.toList() }
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/EntryState.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/EntryState.kt
@@ -23,6 +23,7 @@
 import io.guavashore.wire.ControlMessage
 import io.guavashore.wire.FactKeys
 import io.guavashore.wire.SharedResources
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 private val log = KotlinLogging.logger {}
@@ -120,7 +121,17 @@
         return heard.takeIf { clock() - it > STEWARD_LOST_MS }
     }
 
+    /** A fact that can't be read, of a later version of guavashore say, changes nothing here. */
     private fun apply(fact: Fact) {
+        try {
+            applyReadable(fact)
+        } catch (e: SerializationException) {
+            environment.metrics.count("facts.unreadable")
+            log.warn { "${fact.version.key} can't be read and is passed over; this VM may need a newer version" }
+        }
+    }
+
+    private fun applyReadable(fact: Fact) {
         val key = fact.version.key
         when {
             key.startsWith(FactKeys.CONFIGURATION) -> adopt(json.decodeFromString(fact.content))
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/StepRunner.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/StepRunner.kt
@@ -13,14 +13,11 @@
 import io.guavashore.api.OrganisationId
 import io.guavashore.api.Refusal
 import io.guavashore.api.SampleId
-import io.guavashore.api.TargetId
 import io.guavashore.api.TeamId
 import io.guavashore.api.TrainerDeclaration
-import io.guavashore.api.plusTokens
 import io.guavashore.calls.CallPlan
 import io.guavashore.calls.PlainRequest
 import io.guavashore.calls.SlotRequest
-import io.guavashore.calls.TokenChunk
 import io.guavashore.routing.RequestFingerprint
 import io.guavashore.samples.SampleWork
 import io.guavashore.samples.SpeedOf
@@ -50,25 +47,6 @@
     val score: Double,
 )
 
-/** Where a sample runs and what it has so far; a straggler's second attempt goes on from a copy. */
-private class Progress(
-    generation: Generation = Generation(emptyList(), emptyList()),
-) {
-    @Volatile
-    var target: TargetId? = null
-
-    @Volatile
-    var generation = generation
-        private set
-
-    fun add(chunk: TokenChunk) {
-        val before = generation
-        generation = Generation(before.tokens + chunk.tokens, before.spans.plusTokens(chunk.version, chunk.tokens.size))
-    }
-
-    fun copy() = Progress(generation)
-}
-
 /** Runner of all steps of one entry. */
 internal class StepRunner(
     private val registry: StepRegistry,
@@ -100,7 +78,7 @@
     private suspend fun run(key: StepKey) =
         coroutineScope {
             val jobs = ConcurrentHashMap<SampleId, MutableList<Job>>()
-            val progress = ConcurrentHashMap<SampleId, Progress>()
+            val progress = ConcurrentHashMap<SampleId, SampleProgress>()
             while (registry.withStep(key) { !it.isComplete() } == true) {
                 startSamples(key, jobs, progress)
                 delay(TICK_MS)
@@ -111,7 +89,7 @@
     private fun CoroutineScope.startSamples(
         key: StepKey,
         jobs: ConcurrentHashMap<SampleId, MutableList<Job>>,
-        progress: ConcurrentHashMap<SampleId, Progress>,
+        progress: ConcurrentHashMap<SampleId, SampleProgress>,
     ) {
         val team = services.state.team(key.team) ?: return
         val trainer = team.declaration.trainer(key.trainer) ?: return
@@ -130,7 +108,7 @@
         trainer: TrainerDeclaration,
         work: SampleWork,
         jobs: ConcurrentHashMap<SampleId, MutableList<Job>>,
-        progress: ConcurrentHashMap<SampleId, Progress>,
+        progress: ConcurrentHashMap<SampleId, SampleProgress>,
     ) {
         val outcome = generate(key, trainer, work, progress)
         progress.remove(work.sample)
@@ -151,7 +129,7 @@
         key: StepKey,
         trainer: TrainerDeclaration,
         work: SampleWork,
-        progress: ConcurrentHashMap<SampleId, Progress>,
+        progress: ConcurrentHashMap<SampleId, SampleProgress>,
     ): Result<Generation, Refusal> {
         val admitted =
             admitted(key.team, trainer, trainer.service.value) ?: return badRequest("the trainer's service is gone")
@@ -165,13 +143,13 @@
             )
         val fingerprint = RequestFingerprint.of(trainer.organisation, "${work.request}".toByteArray())
         val plan = CallPlan(slot, fingerprint, idempotent = true)
-        val own = if (work.duplicate) progress[work.sample]?.copy() ?: Progress() else Progress()
+        val own = if (work.duplicate) progress[work.sample]?.copy() ?: SampleProgress() else SampleProgress()
         if (!work.duplicate) progress[work.sample] = own
         return services.timed(admitted, WorkClass.SAMPLES) {
             admitted.pool.generations.run(
                 plan = plan,
                 request = work.request,
-                from = own.generation,
+                from = own.generation(),
                 onStart = { own.target = it },
                 onChunk = { own.add(it) },
             )
--- a/guavashore-entry/src/test/kotlin/io/guavashore/entry/IsolationTest.kt
+++ b/guavashore-entry/src/test/kotlin/io/guavashore/entry/EntryStateTest.kt
@@ -7,12 +7,14 @@
 import io.guavashore.api.RefusalKind
 import io.guavashore.api.ServiceId
 import io.guavashore.api.TeamId
+import io.guavashore.membership.Fact
+import io.guavashore.membership.FactVersion
 import io.guavashore.testing.VirtualClock
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-class IsolationTest {
+class EntryStateTest {
     private val clock = VirtualClock()
     private val entry = TestEntry(clock)
     private val refusing = OrganisationDeclaration(OrganisationId("o"), isolation = IsolationPolicy.REFUSE)
@@ -49,6 +51,19 @@
         }
     }
 
+    @Test
+    fun `facts that can't be read change nothing`() {
+        entry.hear()
+        val garbage =
+            listOf(
+                "config/t",
+                "targets/a",
+                "suspects/vm-1",
+            ).map { Fact(FactVersion(it, term = 9, sequence = 0), "{\"x\":1}") }
+        garbage.forEach(entry.state.facts::offer)
+        assertEquals(null, refusal("keyed"))
+    }
+
     @Test
     fun `an entry without any steward counts as cut off after 15 s`() {
         entry.hear(refusing)
--- a/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseKeeper.kt
+++ b/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseKeeper.kt
@@ -11,9 +11,11 @@
 import io.guavashore.platform.ObjectStore
 import io.guavashore.platform.ObjectVersion
 import io.guavashore.platform.StoreError
+import io.guavashore.platform.StoredObject
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 private val log = KotlinLogging.logger {}
@@ -33,6 +35,7 @@
     private val isCandidate: () -> Boolean = { true },
 ) {
     private val mutex = Mutex()
+    private var unreadable = false
 
     @Volatile
     private var current: HeldLease? = null
@@ -78,11 +81,28 @@
         store
             .read(path)
             .onSuccess { found ->
-                val record = found?.let { Json.decodeFromString<LeaseRecord>(it.value) }
-                machine.onRead(found?.version ?: ObjectVersion.ABSENT, record, clock())
+                val version = found?.version ?: ObjectVersion.ABSENT
+                val record = found?.let(::decode)
+                if (found != null &&
+                    record == null
+                ) {
+                    machine.onUnavailable(clock())
+                } else {
+                    machine.onRead(version, record, clock())
+                }
             }.onFailure { machine.onUnavailable(clock()) }
     }
 
+    /** A lease that can't be read belongs to somebody; it is not taken. */
+    private fun decode(found: StoredObject): LeaseRecord? =
+        try {
+            Json.decodeFromString<LeaseRecord>(found.value)
+        } catch (e: SerializationException) {
+            if (!unreadable) log.warn { "$path can't be read; this VM may need a newer version" }
+            unreadable = true
+            null
+        }
+
     private suspend fun write(action: LeaseAction.Write) {
         store
             .write(path, Json.encodeToString(action.record), action.expected)
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/ConfigurationRelay.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/ConfigurationRelay.kt
@@ -22,6 +22,7 @@
 import io.guavashore.platform.StoredObject
 import io.guavashore.wire.FactKeys
 import kotlinx.coroutines.delay
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 private val log = KotlinLogging.logger {}
@@ -73,7 +74,7 @@
 
     /** Publishes the snapshot that a head names; false if it could not be read. */
     private suspend fun publish(stored: StoredObject): Boolean {
-        val head = Json.decodeFromString<TeamHead>(stored.value)
+        val head = readHead(stored) ?: return true
         val key = FactKeys.configuration(head.team)
         val version = FactVersion(key, term = head.newest.revision.value, sequence = 0)
         if (!version.isNewerThan(facts[key]?.version)) return true
@@ -82,6 +83,14 @@
         return true
     }
 
+    private fun readHead(stored: StoredObject): TeamHead? =
+        try {
+            Json.decodeFromString<TeamHead>(stored.value)
+        } catch (e: SerializationException) {
+            log.warn { "${stored.path} is no head of a team and is passed over; see 'guavashorectl history'" }
+            null
+        }
+
     private fun noteReachable(now: Boolean) {
         if (now != reachable) log.info { if (now) "the store answers again" else "the store does not answer" }
         reachable = now
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/EntryDesk.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/EntryDesk.kt
@@ -49,6 +49,8 @@
 ) {
     private val changed = ConcurrentHashMap<VmId, ChangedCounters>()
     private val json = Json { ignoreUnknownKeys = true }
+    private var zones: Map<ResourceId, ZoneId> = emptyMap()
+    private var zonesFrom: Set<FactVersion> = emptySet()
     private var suspectsSequence = 0L
     private var publishedSuspects = ""
 
@@ -138,12 +140,21 @@
     private fun changedFor(receiver: VmId): List<UsageCounter> =
         changed.computeIfAbsent(receiver) { ChangedCounters(clock) }.pick(merge.counters())
 
-    private fun zonesOfSlots(): Map<ResourceId, ZoneId> =
-        facts
-            .withPrefix(FactKeys.TARGETS)
-            .map { json.decodeFromString<TargetTable>(it.content) }
-            .flatMap { table -> table.targets.map { SharedResources.slots(it.id) to table.zone } }
-            .toMap()
+    /** Zones of all targets' slots; worked out anew only when a table has changed. */
+    private fun zonesOfSlots(): Map<ResourceId, ZoneId> {
+        val tables = facts.withPrefix(FactKeys.TARGETS)
+        val versions = tables.map { it.version }.toSet()
+        synchronized(this) {
+            if (versions == zonesFrom) return zones
+            zonesFrom = versions
+            zones =
+                tables
+                    .map { json.decodeFromString<TargetTable>(it.content) }
+                    .flatMap { table -> table.targets.map { SharedResources.slots(it.id) to table.zone } }
+                    .toMap()
+            return zones
+        }
+    }
 
     private fun publishSuspects(report: ControlMessage.EntryReport) {
         val content = json.encodeToString(report.suspects)
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/StewardState.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/StewardState.kt
@@ -4,6 +4,8 @@
 package io.guavashore.steward
 
 import io.guavashore.api.Declaration
+import io.guavashore.api.Revision
+import io.guavashore.api.TeamId
 import io.guavashore.api.TeamSnapshot
 import io.guavashore.api.VmId
 import io.guavashore.configuration.AdoptedConfiguration
@@ -14,6 +16,7 @@
 import io.guavashore.platform.VmRow
 import io.guavashore.platform.VmState
 import io.guavashore.wire.FactKeys
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 /** Knowledge of one steward. Thread-safe. */
@@ -52,8 +55,18 @@
     private fun onFact(fact: Fact) {
         val key = fact.version.key
         when {
-            key.startsWith(FactKeys.CONFIGURATION) -> adopted.offer(Json.decodeFromString<TeamSnapshot>(fact.content))
+            key.startsWith(FactKeys.CONFIGURATION) -> adopt(fact)
             key == FactKeys.VMS -> vmRows = Json.decodeFromString(fact.content)
         }
     }
+
+    /** A revision of a later version of guavashore may not be readable here; the one in force stays then. */
+    private fun adopt(fact: Fact) {
+        try {
+            adopted.offer(Json.decodeFromString<TeamSnapshot>(fact.content))
+        } catch (e: SerializationException) {
+            val team = TeamId(fact.version.key.removePrefix(FactKeys.CONFIGURATION))
+            adopted.reject(team, Revision(fact.version.term), "can't be read; this VM may need a newer version")
+        }
+    }
 }
