--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/Gate.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/Gate.kt
@@ -69,8 +69,7 @@
         team: TeamRuntime,
         authorization: String?,
     ): Result<Caller, Refusal> {
-        val presented = authorization?.takeIf { it.startsWith(BEARER, ignoreCase = true) }?.drop(BEARER.length)?.trim()
-        val key = team.keys.check(presented).getOrElse { return Err(it) }
+        val key = team.keys.check(presentedKey(authorization)).getOrElse { return Err(it) }
         if (state.refusesIsolated(team, key.organisation)) return Err(isolated())
         return Ok(Caller(key.organisation, key.id))
     }
@@ -152,7 +151,6 @@
         )
 
     private companion object {
-        const val BEARER = "Bearer "
         const val ISOLATED_RETRY_MS = 5_000L
         const val START_RETRY_MS = 1_000L
     }
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/HttpFront.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/HttpFront.kt
@@ -13,11 +13,9 @@
 import io.ktor.http.HttpHeaders
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
-import io.ktor.server.application.install
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
-import io.ktor.server.http.HttpRequestLifecycle
 import io.ktor.server.request.header
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
@@ -29,7 +27,10 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Front of one entry. */
+/**
+ * Front of one entry. Ktor's plugin that cancels a call when its caller leaves is not used: it now and then cancels
+ * a call that came with `Connection: close`, whose caller still waits.
+ */
 internal class HttpFront(
     endpoint: Endpoint,
     private val services: EntryServices,
@@ -59,7 +60,6 @@
     fun stop() = server.stop(gracePeriodMillis = 0, timeoutMillis = STOP_MS)
 
     private fun Application.routes() {
-        install(HttpRequestLifecycle) { cancelCallOnClose = true }
         routing {
             route("/v1/{team}") {
                 route("/trainers/{trainer}/steps/{step}") {
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/RequestReader.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/RequestReader.kt
@@ -10,6 +10,7 @@
 import io.guavashore.api.Refusal
 import io.guavashore.api.RefusalKind
 import io.guavashore.api.WallClock
+import io.guavashore.keys.CallerKey
 import io.ktor.http.HttpHeaders
 import io.ktor.http.decodeURLQueryComponent
 import io.ktor.server.application.ApplicationCall
@@ -61,15 +62,9 @@
     pathAndQuery: String,
     body: ByteArray,
 ): Result<Unit, Refusal> {
-    val secret =
-        request
-            .header(HttpHeaders.Authorization)
-            ?.substringAfterLast('_')
-            ?.trim()
-            .orEmpty()
-    if (secret.length < SHORTEST_SECRET) return Ok(Unit)
+    val key = presentedKey(request.header(HttpHeaders.Authorization))?.let(CallerKey::parseOrNull) ?: return Ok(Unit)
     val places = listOf(pathAndQuery, pathAndQuery.decodeURLQueryComponent(), body.decodeToString())
-    if (places.none { secret in it }) return Ok(Unit)
+    if (places.none(key::standsIn)) return Ok(Unit)
     return badRequest("the key stands in path, query or body; send it in the Authorization header only")
 }
 
@@ -80,4 +75,8 @@
 private fun tooLarge(maxBytes: Long) =
     Err(Refusal(RefusalKind.TOO_LARGE, "the body is longer than $maxBytes bytes; send less", notRun = true))
 
-private const val SHORTEST_SECRET = 8
+/** Key in the value of an `Authorization` header, or null if it holds none. */
+internal fun presentedKey(authorization: String?): String? =
+    authorization?.takeIf { it.startsWith(BEARER, ignoreCase = true) }?.drop(BEARER.length)?.trim()
+
+private const val BEARER = "Bearer "
--- a/guavashore-entry/src/test/kotlin/io/guavashore/entry/HttpFrontFuzzTest.kt
+++ b/guavashore-entry/src/test/kotlin/io/guavashore/entry/HttpFrontFuzzTest.kt
@@ -42,19 +42,24 @@
         scope.cancel()
     }
 
-    private fun send(bytes: ByteArray): String =
+    /** A caller that closes its side has left, and its call is cancelled; so a call whose answer matters stays open. */
+    private fun send(
+        bytes: ByteArray,
+        thenLeave: Boolean,
+    ): String =
         Socket("127.0.0.1", port).use { socket ->
             socket.soTimeout = 2_000
             runCatching {
                 socket.getOutputStream().write(bytes)
-                socket.shutdownOutput()
+                if (thenLeave) socket.shutdownOutput()
                 socket.getInputStream().readNBytes(4_096).decodeToString()
-            }.getOrDefault("")
+            }.getOrElse { "no answer: $it" }
         }
 
     private fun assertStillAnswers(after: String) {
         val valid = "GET /v1/t/keyed/call/x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
-        assertTrue("key_missing" in send(valid.toByteArray()), "no answer after: ${after.take(200)}")
+        val answer = send(valid.toByteArray(), thenLeave = false)
+        assertTrue("key_missing" in answer, "answer $answer after: ${after.take(200)}")
     }
 
     private val parts =
@@ -69,7 +74,7 @@
 
     @Test
     fun `requests made of right and wrong parts, and random bytes, neither crash the front nor show a key`() =
-        runBlocking {
+        runBlocking<Unit> {
             val indexes = Arb.list(Arb.int(parts.indices), 1..12)
             val pieces = indexes.map { all -> all.joinToString("") { parts[it] }.toByteArray() }
             val noise = Arb.byteArray(Arb.int(1..400), Arb.byte())
@@ -77,8 +82,8 @@
             val keyed = "GET /v1/t/keyed/call/${entry.key.text} HTTP/1.1\r\n$header\r\n\r\n"
             val requests = Arb.choice(pieces, noise, Arb.constant(keyed.toByteArray()))
             checkAll(PropTestConfig(seed = 20_261_204, iterations = 150), requests) { bytes ->
-                val answer = send(bytes)
-                assertFalse(entry.key.text.substringAfterLast("_") in answer, "shows the key: $answer")
+                val answer = send(bytes, thenLeave = true)
+                assertFalse(entry.key.text.removePrefix("gk_app_") in answer, "shows the key: $answer")
                 assertStillAnswers(after = bytes.decodeToString())
             }
         }
--- a/guavashore-keys/src/main/kotlin/io/guavashore/keys/CallerKey.kt
+++ b/guavashore-keys/src/main/kotlin/io/guavashore/keys/CallerKey.kt
@@ -19,11 +19,15 @@
     fun matches(expectedSha256: String): Boolean =
         MessageDigest.isEqual(sha256Hex(secret).toByteArray(), expectedSha256.lowercase().toByteArray())
 
+    /** True if the secret stands in [text]; secrets too short to tell from other text are passed over. */
+    fun standsIn(text: String): Boolean = secret.length >= SHORTEST_SECRET && secret in text
+
     override fun toString() = "gk_${id}_***"
 
     companion object {
         private const val PREFIX = "gk_"
         private const val MAX_LENGTH = 200
+        private const val SHORTEST_SECRET = 8
         private const val SECRET_BYTES = 32
         private val idForm = Regex("[a-z0-9-]{1,64}")
 
--- a/guavashore-keys/src/test/kotlin/io/guavashore/keys/KeyRingTest.kt
+++ b/guavashore-keys/src/test/kotlin/io/guavashore/keys/KeyRingTest.kt
@@ -65,6 +65,15 @@
             assertNull(ring(firstWithdrawn = true).check(second.text).getError())
         }
 
+        @Test
+        fun `is found in other text whatever characters its secret has`() {
+            listOf("abcdefgh", "abc_defgh_", "_-_-_-_-x").forEach { secret ->
+                val key = CallerKey.parseOrNull("gk_first_$secret")
+                assertEquals(true, key?.standsIn("a query with $secret in it"), secret)
+                assertEquals(false, key?.standsIn("a query without it"), secret)
+            }
+        }
+
         @Test
         fun `does not show its secret as text`() {
             assertEquals("gk_first_***", CallerKey.parseOrNull(first.text).toString())
--- a/guavashore-wire/src/test/kotlin/io/guavashore/wire/WireTest.kt
+++ b/guavashore-wire/src/test/kotlin/io/guavashore/wire/WireTest.kt
@@ -50,7 +50,7 @@
 
         @Test
         fun `with a length out of bounds is refused before it is read`() =
-            runBlocking {
+            runBlocking<Unit> {
                 listOf(-1, 0, MAX_FRAME_BYTES + 1, Int.MAX_VALUE).forEach { length ->
                     val channel = ByteChannel(autoFlush = true)
                     launch { channel.writeInt(length) }
@@ -63,7 +63,7 @@
     inner class `an exchange over sockets` {
         @Test
         fun `is answered, and works again after the server was away`() =
-            runBlocking {
+            runBlocking<Unit> {
                 val selector = SelectorManager(Dispatchers.IO)
                 val reply = ControlMessage.FactsReply(listOf(Fact(FactVersion("k", 1, 2), "{}")))
                 val first = ControlServer.bind(Endpoint("127.0.0.1", 0), selector) { reply }
