--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -0,0 +1,176 @@
+/*
+ * One run of an item on an engine.
+ */
+package io.guavashore.edge.batches
+
+import io.guavashore.api.MonotonicClock
+import io.guavashore.api.OrganisationId
+import io.guavashore.edge.declared.ModelId
+import io.guavashore.edge.declared.TargetEntry
+import io.guavashore.edge.targets.AnswerFacts
+import io.guavashore.edge.targets.EventReader
+import io.guavashore.edge.targets.PassOn
+import io.guavashore.edge.targets.StreamEvent
+import io.guavashore.edge.targets.TargetConnections
+import io.guavashore.edge.targets.TargetDirectory
+import io.guavashore.edge.targets.TargetProtocol
+import io.guavashore.net.AnswerHead
+import io.guavashore.net.ExchangeFailure
+import io.guavashore.net.HttpConnection
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** How a run ended. */
+sealed interface RunOutcome {
+    data object Completed : RunOutcome
+
+    /** The engine failed the run; counts against the item's attempts. */
+    data object Failed : RunOutcome
+
+    /** The engine says that the item can never be done. */
+    data object Impossible : RunOutcome
+
+    /** The engine did not take the request. */
+    data class NotRun(
+        val reason: String,
+        val wasOffered: Boolean,
+    ) : RunOutcome
+
+    /** The run broke off; its text so far holds unless [discard]. */
+    data class Broken(
+        val reason: String,
+        val discard: Boolean = false,
+    ) : RunOutcome
+}
+
+/** Runs items on engines. */
+class ItemCall(
+    private val protocol: TargetProtocol,
+    private val connections: TargetConnections,
+    private val directory: TargetDirectory,
+    private val pace: EnginePace,
+    private val clock: MonotonicClock,
+) {
+    /** Runs [item] on [engine] from where its text stands; events are added to its progress. */
+    suspend fun run(
+        item: ItemState,
+        engine: TargetEntry,
+        host: String,
+        organisation: OrganisationId,
+        deadlineInMs: Long,
+    ): RunOutcome {
+        val connection =
+            try {
+                connections.take(engine)
+            } catch (e: ExchangeFailure.NotConnected) {
+                directory.failed(engine.id)
+                return RunOutcome.NotRun(e.message.orEmpty(), wasOffered = false)
+            }
+        try {
+            val terms = PassOn(engine.id, organisation, deadlineInMs, item.progress.lastEventId)
+            connection.send(protocol.itemRequest(item.spec, host, terms))
+            return read(item, engine, connection)
+        } catch (e: ExchangeFailure) {
+            return RunOutcome.Broken(e.message.orEmpty())
+        } finally {
+            if (connection.busy) connection.close() else connections.giveBack(engine.id, connection)
+        }
+    }
+
+    private suspend fun read(
+        item: ItemState,
+        engine: TargetEntry,
+        connection: HttpConnection,
+    ): RunOutcome {
+        val head =
+            withTimeoutOrNull(FIRST_ANSWER_MS) { connection.head() }
+                ?: return RunOutcome.Broken("no answer in $FIRST_ANSWER_MS ms")
+        val facts = protocol.facts(head)
+        if (head.status != OK) return refusal(head, facts, connection)
+        if (!facts.isGenuine || facts.requestId?.let { it != item.spec.id.value } == true) {
+            return RunOutcome.Broken("answer of another request")
+        }
+        return readEvents(item, engine, connection, facts.weightVersion)
+    }
+
+    private suspend fun refusal(
+        head: AnswerHead,
+        facts: AnswerFacts,
+        connection: HttpConnection,
+    ): RunOutcome {
+        withTimeoutOrNull(FIRST_ANSWER_MS) { connection.wholeBody(MOST_ERROR_BYTES) }
+        return when {
+            facts.notRun || head.status == MISDIRECTED ->
+                RunOutcome.NotRun("status ${head.status}", wasOffered = true)
+            head.status == IMPOSSIBLE -> RunOutcome.Impossible
+            head.status == FAILED -> RunOutcome.Failed
+            else -> RunOutcome.Broken("status ${head.status}")
+        }
+    }
+
+    private suspend fun readEvents(
+        item: ItemState,
+        engine: TargetEntry,
+        connection: HttpConnection,
+        versionAtStart: Long?,
+    ): RunOutcome {
+        var version = versionAtStart ?: return RunOutcome.Broken("no version of the weights", discard = false)
+        val model = item.batch.record.model
+        showVersion(engine, model, version)
+        val reader = EventReader()
+        var lastEventMs = 0L
+        while (true) {
+            val silenceMs = pace.longestSilenceMs(engine.id)
+            val part = withTimeoutOrNull(silenceMs) { Part(connection.nextPart()) }
+            if (part == null) return RunOutcome.Broken("no event in $silenceMs ms")
+            val bytes = part.bytes ?: break
+            reader.take(bytes).forEach { event ->
+                version = event.lines.firstNotNullOfOrNull(protocol.eventVersion) ?: version
+                showVersion(engine, model, version)
+                val problem = add(item, event, version)
+                if (problem != null) return problem
+                val now = clock()
+                if (lastEventMs > 0) pace.record(engine.id, (now - lastEventMs).toDouble())
+                lastEventMs = now
+            }
+        }
+        if (!reader.isBetweenEvents) return RunOutcome.Broken("stream ended within an event")
+        return RunOutcome.Completed
+    }
+
+    private fun add(
+        item: ItemState,
+        event: StreamEvent,
+        version: Long,
+    ): RunOutcome? {
+        val id = event.id ?: return RunOutcome.Broken("event without a number")
+        return when (val fit = item.progress.add(TextEvent(id, event.data, version))) {
+            EventFit.ADDED -> null
+            EventFit.OTHER_VERSION -> RunOutcome.Broken("$fit", discard = true)
+            EventFit.OUT_OF_ORDER, EventFit.TOO_OLD -> RunOutcome.Broken("$fit")
+        }
+    }
+
+    private fun showVersion(
+        engine: TargetEntry,
+        model: ModelId?,
+        version: Long,
+    ) {
+        if (model != null) directory.showedVersion(engine.id, model, version)
+    }
+
+    /** Distinguishes the end of a body from a timeout. */
+    private class Part(
+        val bytes: ByteArray?,
+    )
+
+    private companion object {
+        const val OK = 200
+        const val FAILED = 500
+        const val IMPOSSIBLE = 422
+        const val MISDIRECTED = 421
+        const val MOST_ERROR_BYTES = 65_536
+
+        /** A queue at the engine and a load of weights may come before the first event. */
+        const val FIRST_ANSWER_MS = 3_000L
+    }
+}
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
@@ -0,0 +1,143 @@
+/*
+ * Which waiting item runs on which engine next, and which running item should move.
+ *
+ * Load pattern: a trainer submits all items of a step at once and waits for nearly all of its groups, so a step takes
+ * as long as its longest items. Lengths are skewed (a twelfth of the items are five times as long as the others), engines
+ * differ in speed, and some become several times slower for seconds. Reading a prompt anew costs a few
+ * milliseconds, so a run that is moved loses next to nothing.
+ */
+package io.guavashore.edge.batches
+
+import io.guavashore.api.ServiceId
+import io.guavashore.api.TargetId
+import io.guavashore.edge.declared.ModelId
+
+/**
+ * Engine as the dispatcher sees it.
+ *
+ * @property running items that this dispatcher has running there
+ * @property reservedTokens memory that these will need, by their estimates
+ * @property msPerEvent measured pace; null until it has been measured
+ * @property isUsable false while it leaves, loads weights, or has just failed
+ */
+data class EngineView(
+    val id: TargetId,
+    val service: ServiceId,
+    val slots: Int,
+    val memoryTokens: Int,
+    val versions: Map<ModelId, Long>,
+    val running: Int,
+    val reservedTokens: Int,
+    val msPerEvent: Double?,
+    val isUsable: Boolean,
+)
+
+/** Item as the dispatcher sees it. */
+data class ItemDemand(
+    val item: ItemState,
+    val service: ServiceId,
+    val model: ModelId?,
+)
+
+data class Assignment(
+    val item: ItemState,
+    val engine: TargetId,
+)
+
+/** Terms of placement. */
+data class PlacementTerms(
+    /** Tokens of one event of a stream, as the engines declare. */
+    val tokensPerEvent: Int = 63,
+    /** Pace assumed of an engine that has not been measured. */
+    val usualMsPerEvent: Double = 40.0,
+    /** What a full engine costs an item over an empty one; batching slows engines by a few percent only. */
+    val crowdingMs: Double = 250.0,
+    /** Memory that estimates may fill; the rest absorbs runs that pass theirs. */
+    val memoryShare: Double = 0.85,
+    /** An item moves only if the new engine is this much faster... */
+    val moveSpeedRatio: Double = 1.7,
+    /** ...and the move saves this much; a move costs a connection, a prompt and some noise in the estimates. */
+    val moveGainMs: Double = 500.0,
+)
+
+/**
+ * Order in which waiting items are placed: earlier due first, then what a trainer waits for in any case (groups that are
+ * carried over come first in a batch), longest first within that.
+ */
+fun dispatchOrder(
+    demands: List<ItemDemand>,
+    terms: PlacementTerms = PlacementTerms(),
+): List<ItemDemand> =
+    demands.sortedWith(
+        compareBy<ItemDemand> { it.item.batch.record.dueAtMs }
+            .thenBy { it.item.batch.id.value }
+            .thenByDescending { it.item.expectedTokensLeft(terms.tokensPerEvent) }
+            .thenBy { it.item.position },
+    )
+
+/** Places as many of [demands] as [engines] have room for. */
+fun place(
+    demands: List<ItemDemand>,
+    engines: List<EngineView>,
+    terms: PlacementTerms = PlacementTerms(),
+): List<Assignment> {
+    val views = engines.associateByTo(LinkedHashMap()) { it.id }
+    return dispatchOrder(demands, terms).mapNotNull { demand ->
+        val best = bestEngine(demand, views.values, terms) ?: return@mapNotNull null
+        views[best.id] =
+            best.copy(
+                running = best.running + 1,
+                reservedTokens = best.reservedTokens + demand.item.memoryNeed(terms),
+            )
+        Assignment(demand.item, best.id)
+    }
+}
+
+/** Engine to which the item on [current] should move, or null if it should stay. */
+fun betterEngine(
+    demand: ItemDemand,
+    current: EngineView,
+    engines: List<EngineView>,
+    terms: PlacementTerms = PlacementTerms(),
+): EngineView? {
+    val pace = current.msPerEvent ?: return null
+    val others = engines.filter { it.id != current.id && it.msPerEvent != null }
+    val best = bestEngine(demand, others, terms) ?: return null
+    val bestPace = best.msPerEvent ?: return null
+    val eventsLeft = demand.item.expectedTokensLeft(terms.tokensPerEvent) / terms.tokensPerEvent.toDouble()
+    val gainMs = eventsLeft * (pace - bestPace)
+    return best.takeIf { pace > bestPace * terms.moveSpeedRatio && gainMs > terms.moveGainMs }
+}
+
+/** Memory that the item will have taken at its end, by its estimate. */
+fun ItemState.memoryNeed(terms: PlacementTerms): Int =
+    spec.promptTokens + progress.size * terms.tokensPerEvent + expectedTokensLeft(terms.tokensPerEvent)
+
+private fun bestEngine(
+    demand: ItemDemand,
+    engines: kotlin.collections.Collection<EngineView>,
+    terms: PlacementTerms,
+): EngineView? {
+    val able = engines.filter { it.canTake(demand, terms) }
+    val preferred = able.filter { it.id !in demand.item.avoid }.ifEmpty { able }
+    return preferred.minByOrNull { it.costMs(demand, terms) }
+}
+
+private fun EngineView.canTake(
+    demand: ItemDemand,
+    terms: PlacementTerms,
+): Boolean {
+    if (!isUsable || service != demand.service || running >= slots) return false
+    val version = demand.model?.let { versions[it] }
+    if (demand.model != null && (version == null || version < demand.item.batch.record.leastVersion)) return false
+    val fits = reservedTokens + demand.item.memoryNeed(terms) <= memoryTokens * terms.memoryShare
+    return running == 0 || memoryTokens == 0 || fits
+}
+
+private fun EngineView.costMs(
+    demand: ItemDemand,
+    terms: PlacementTerms,
+): Double {
+    val events = demand.item.expectedTokensLeft(terms.tokensPerEvent) / terms.tokensPerEvent.toDouble()
+    return events * (msPerEvent ?: terms.usualMsPerEvent) + terms.crowdingMs * running / slots
+}
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/CatalogSync.kt
@@ -0,0 +1,152 @@
+/*
+ * Keeps the [Catalog] up to date, from the store and from peers.
+ *
+ * Every call to the store has a price, so two VMs watch it and tell the others. A VM that hears in a peer's pulse of
+ * changes that it lacks asks that peer for them; a VM without peers, or whose watchers have gone quiet, watches itself.
+ */
+package io.guavashore.edge.catalog
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.MonotonicClock
+import io.guavashore.api.VmId
+import io.guavashore.api.stableHash
+import io.guavashore.edge.peers.PeerMessage
+import io.guavashore.edge.peers.Pulse
+import io.guavashore.platform.CallStore
+import io.guavashore.platform.Collection
+import io.guavashore.platform.EntryChange
+import io.guavashore.platform.StoreAnswer
+import io.guavashore.platform.StoreCall
+import io.guavashore.platform.StoreFault
+import kotlinx.coroutines.delay
+
+private val log = KotlinLogging.logger {}
+
+/** Hears of changes that were applied. */
+typealias OnChanges = (collection: Collection, changes: List<EntryChange>) -> Unit
+
+/** Sends a message to all peers that are alive. */
+typealias Broadcast = (PeerMessage) -> Unit
+
+/** Synchronisation of one VM's catalog. */
+class CatalogSync(
+    private val self: VmId,
+    private val catalog: Catalog,
+    private val call: CallStore,
+    private val alivePeers: () -> List<Pulse>,
+    private val broadcast: Broadcast,
+    private val onChanges: OnChanges,
+    private val clock: MonotonicClock,
+) {
+    private var awayUntilMs = 0L
+
+    /** True while the store is away, and shortly after: entries may be missing for that reason alone. */
+    fun storeWasAway(): Boolean = clock() < awayUntilMs
+
+    /** Keeps [collection] up to date until cancelled. */
+    suspend fun follow(collection: Collection) {
+        while (true) {
+            if (catalog.isKnown(collection) && !isWatcher()) {
+                delay(LOOK_EVERY_MS)
+                continue
+            }
+            val fault = if (catalog.isKnown(collection)) watch(collection) else list(collection)
+            if (fault != null) recover(collection, fault)
+        }
+    }
+
+    fun onNews(news: PeerMessage.News) = applied(news.collection, news.changes, news.completeTo, tellPeers = false)
+
+    fun onNewsWanted(wanted: PeerMessage.NewsWanted) =
+        PeerMessage.News(
+            collection = wanted.collection,
+            changes = catalog.changesAfter(wanted.collection, wanted.afterRevision),
+            completeTo = catalog.asOf(wanted.collection),
+        )
+
+    /** Collections of which [pulse] shows newer changes than are known here. */
+    fun lacking(pulse: Pulse): List<PeerMessage.NewsWanted> =
+        pulse.newest
+            .filter { (collection, newest) -> collection in catalog.collections && lacks(collection, newest) }
+            .map { (collection, _) -> PeerMessage.NewsWanted(collection, catalog.asOf(collection)) }
+
+    private fun lacks(
+        collection: Collection,
+        newest: Long,
+    ) = newest > catalog.newestChange(collection) || (newest > 0 && !catalog.isKnown(collection))
+
+    private fun isWatcher(): Boolean {
+        val others = alivePeers().filter { it.storeReachable && !it.stopping }.map { it.card.vm }
+        return (others + self).sortedBy { stableHash("watch/$it") }.take(WATCHERS).contains(self)
+    }
+
+    private suspend fun list(collection: Collection): StoreFault? {
+        val outcome = call(StoreCall.ListAll(collection), LIST_TIMEOUT_MS)
+        if (outcome.isErr) return outcome.error
+        val listing = outcome.value as StoreAnswer.Listing
+        val changes = catalog.applyListing(collection, listing)
+        log.info { "collection listed: collection=$collection as_of=${listing.asOfRevision} changes=${changes.size}" }
+        tell(collection, changes)
+        return null
+    }
+
+    private suspend fun watch(collection: Collection): StoreFault? {
+        val call = StoreCall.Watch(collection, catalog.asOf(collection), WATCH_MS)
+        val outcome = call(call, WATCH_MS + WATCH_MARGIN_MS)
+        if (outcome.isErr) return outcome.error
+        val answer = outcome.value as StoreAnswer.Changes
+        applied(collection, answer.changes, answer.asOfRevision, tellPeers = true)
+        return null
+    }
+
+    private suspend fun recover(
+        collection: Collection,
+        fault: StoreFault,
+    ) {
+        log.warn { "store not followed: collection=$collection as_of=${catalog.asOf(collection)} fault=${fault.message}" }
+        if (fault != StoreFault.HistoryGone) {
+            awayUntilMs = clock() + AWAY_MS
+            delay(RETRY_MS)
+        }
+        // A listing also shows what a watch that fell silent has missed.
+        if (catalog.isKnown(collection)) list(collection)
+    }
+
+    private fun applied(
+        collection: Collection,
+        changes: List<EntryChange>,
+        completeTo: Long,
+        tellPeers: Boolean,
+    ) {
+        val fresh = catalog.apply(collection, changes)
+        catalog.completeUpTo(collection, completeTo)
+        if (tellPeers) tell(collection, fresh) else if (fresh.isNotEmpty()) onChanges(collection, fresh)
+    }
+
+    private fun tell(
+        collection: Collection,
+        changes: List<EntryChange>,
+    ) {
+        if (changes.isEmpty()) return
+        onChanges(collection, changes)
+        broadcast(PeerMessage.News(collection, changes))
+    }
+
+    private companion object {
+        /** Two, so that news still comes while one is being found dead. */
+        const val WATCHERS = 2
+        const val LOOK_EVERY_MS = 200L
+        const val LIST_TIMEOUT_MS = 1_500L
+
+        /**
+         * A watch is answered when something changes, or after this. It bounds how long a watch that has gone silent
+         * stays unnoticed; peers that hear more close the gap earlier.
+         */
+        const val WATCH_MS = 8_000L
+        const val WATCH_MARGIN_MS = 1_000L
+        const val RETRY_MS = 250L
+
+        /** Entries that lapsed during an outage are back within two seconds of its end. */
+        const val AWAY_MS = 3_000L
+    }
+}
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorLease.kt
@@ -0,0 +1,74 @@
+/*
+ * Lease of the coordinator, over the store.
+ */
+package io.guavashore.edge.coordinator
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
+import io.guavashore.platform.CallStore
+import io.guavashore.platform.Collection
+import io.guavashore.platform.ObjectPath
+import io.guavashore.platform.ObjectStore
+import io.guavashore.platform.ObjectVersion
+import io.guavashore.platform.StoreAnswer
+import io.guavashore.platform.StoreCall
+import io.guavashore.platform.StoreError
+import io.guavashore.platform.StoreFault
+import io.guavashore.platform.StoredObject
+
+/** Leases of the system. */
+val LEASES = Collection("leases")
+
+/** Path of the coordinator's lease. */
+val COORDINATOR_LEASE = ObjectPath("coordinator")
+
+/** Objects of the collection [LEASES] as the lease keeper wants them; it only reads and writes single ones. */
+fun leaseObjects(
+    call: CallStore,
+    timeoutMs: Long,
+) = ObjectStore(
+    read = { path -> readLease(call, path, timeoutMs) },
+    write = { path, value, expected -> writeLease(call, path, value, expected, timeoutMs) },
+    list = { Err(StoreError.Refused("leases are not listed")) },
+    watch = { _, _, _ -> Err(StoreError.Refused("leases are not watched")) },
+)
+
+private suspend fun readLease(
+    call: CallStore,
+    path: ObjectPath,
+    timeoutMs: Long,
+): Result<StoredObject?, StoreError> =
+    call(StoreCall.Read(LEASES, path.value), timeoutMs)
+        .map { answer ->
+            (answer as StoreAnswer.Entry).entry?.let { StoredObject(path, ObjectVersion(it.revision), it.content) }
+        }.mapError { it.toError(path) }
+
+private suspend fun writeLease(
+    call: CallStore,
+    path: ObjectPath,
+    value: String,
+    expected: ObjectVersion,
+    timeoutMs: Long,
+): Result<ObjectVersion, StoreError> {
+    val message =
+        if (expected == ObjectVersion.ABSENT) {
+            StoreCall.Create(LEASES, path.value, value)
+        } else {
+            StoreCall.Replace(LEASES, path.value, value, expected.value)
+        }
+    val outcome = call(message, timeoutMs)
+    if (outcome.isErr) return Err(outcome.error.toError(path))
+    val entry = (outcome.value as StoreAnswer.Entry).entry ?: return Err(StoreError.Unavailable("no object in the answer"))
+    return Ok(ObjectVersion(entry.revision))
+}
+
+private fun StoreFault.toError(path: ObjectPath): StoreError =
+    when (this) {
+        is StoreFault.Conflict -> StoreError.Conflict(path)
+        is StoreFault.NotDone -> StoreError.Unavailable(reason)
+        is StoreFault.Unknown -> StoreError.Unavailable(reason)
+        StoreFault.HistoryGone -> StoreError.Unavailable(message)
+    }
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/ScaleDuty.kt
@@ -0,0 +1,82 @@
+/*
+ * Orders the number of engines that [planScale] wants.
+ */
+package io.guavashore.edge.duties
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.MonotonicClock
+import io.guavashore.api.ServiceId
+import io.guavashore.api.ZoneId
+import io.guavashore.edge.declared.ServiceMap
+import kotlinx.coroutines.delay
+
+private val log = KotlinLogging.logger {}
+
+/** Scaler of the coordinator. */
+class ScaleDuty(
+    private val declared: () -> ServiceMap?,
+    private val openItems: (ServiceId) -> Int,
+    private val running: (ServiceId, ZoneId) -> Int,
+    private val port: DutyPort,
+    private val right: () -> DutyRight?,
+    private val clock: MonotonicClock,
+) {
+    private class Sample(
+        val atMs: Long,
+        val items: Int,
+    )
+
+    private val samples = HashMap<ServiceId, ArrayDeque<Sample>>()
+    private val ordered = HashMap<Pair<ServiceId, ZoneId>, TargetCount>()
+    private val notBeforeMs = HashMap<Pair<ServiceId, ZoneId>, Long>()
+
+    /** Scales until cancelled. */
+    suspend fun run() {
+        while (true) {
+            declared()?.let { step(it) }
+            delay(LOOK_EVERY_MS)
+        }
+    }
+
+    private suspend fun step(map: ServiceMap) {
+        map.services.values.forEach { service ->
+            val spec = service.scaling ?: return@forEach
+            val engine = service.engine ?: return@forEach
+            val most = mostOpen(service.id)
+            planScale(service.id, spec, engine.slots, engine.models.size, most).forEach { order(it, spec.bootMs) }
+        }
+    }
+
+    private fun mostOpen(service: ServiceId): Int {
+        val recent = samples.getOrPut(service) { ArrayDeque() }
+        recent.addLast(Sample(clock(), openItems(service)))
+        while (clock() - recent.first().atMs > MEMORY_MS) recent.removeFirst()
+        return recent.maxOf { it.items }
+    }
+
+    /** Orders more engines at once, fewer not at all within [MEMORY_MS]: the demand of steps comes in waves. */
+    private suspend fun order(
+        wanted: TargetCount,
+        bootMs: Long,
+    ) {
+        val subject = wanted.service to wanted.zone
+        val present = ordered[subject]?.count ?: running(wanted.service, wanted.zone)
+        if (wanted.count <= present || clock() < (notBeforeMs[subject] ?: 0)) return
+        val holder = right() ?: return
+        val outcome = port.orderTargets(wanted, holder)
+        log.info {
+            "engines ordered: service=${wanted.service} zone=${wanted.zone} count=${wanted.count} present=$present " +
+                "outcome=$outcome fence=${holder.fencingNumber}"
+        }
+        if (outcome == DutyOutcome.DONE) ordered[subject] = wanted
+        notBeforeMs[subject] = clock() + if (outcome == DutyOutcome.AGAIN) AGAIN_MS else bootMs
+    }
+
+    private companion object {
+        const val LOOK_EVERY_MS = 400L
+
+        /** A few steps of a trainer. */
+        const val MEMORY_MS = 20_000L
+        const val AGAIN_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -0,0 +1,259 @@
+/*
+ * Passes callers' requests on to targets.
+ */
+package io.guavashore.edge.forward
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.MonotonicClock
+import io.guavashore.api.OrganisationId
+import io.guavashore.api.TargetId
+import io.guavashore.api.ZoneId
+import io.guavashore.edge.declared.Route
+import io.guavashore.edge.declared.RouteKind
+import io.guavashore.edge.declared.TargetEntry
+import io.guavashore.edge.front.CallFacts
+import io.guavashore.edge.front.CallerProtocol
+import io.guavashore.edge.targets.AnswerFacts
+import io.guavashore.edge.targets.PassOn
+import io.guavashore.edge.targets.TargetConnections
+import io.guavashore.edge.targets.TargetDirectory
+import io.guavashore.edge.targets.TargetProtocol
+import io.guavashore.metrics.Metrics
+import io.guavashore.net.AnswerHead
+import io.guavashore.net.ExchangeFailure
+import io.guavashore.net.HttpAnswer
+import io.guavashore.net.HttpConnection
+import io.guavashore.net.HttpExchange
+import kotlinx.coroutines.withTimeoutOrNull
+
+private val log = KotlinLogging.logger {}
+
+/** One caller's request on its way. Deadlines are on the monotonic clock. */
+class ForwardedCall(
+    val exchange: HttpExchange,
+    val facts: CallFacts,
+    val route: Route,
+    val organisation: OrganisationId?,
+    val deadlineMs: Long,
+) {
+    var attempts = Attempts()
+    var began = false
+
+    /** The last attempt ended with its connection. */
+    var brokeOff = false
+    val tried = HashSet<TargetId>()
+}
+
+/** Tells that a request of an organisation began to run. */
+typealias CountUse = (OrganisationId) -> Unit
+
+/** Forwarder of one VM. */
+class Forwarder(
+    private val zone: ZoneId,
+    private val directory: TargetDirectory,
+    private val connections: TargetConnections,
+    private val targets: TargetProtocol,
+    private val callers: CallerProtocol,
+    private val poison: PoisonList,
+    private val countUse: CountUse,
+    private val metrics: Metrics,
+    private val clock: MonotonicClock,
+) {
+    private val loads = TargetLoads()
+    private val streams = StreamForwarder(targets)
+
+    suspend fun forward(call: ForwardedCall) {
+        val fingerprint = poison.fingerprint(call)
+        if (poison.isPoison(fingerprint)) {
+            return refuse(call, UNAVAILABLE, "this request has crashed several targets", null)
+        }
+        while (true) {
+            val target = choose(call) ?: return noTarget(call)
+            call.tried += target.id
+            val end = attempt(call, target) ?: return
+            call.attempts = call.attempts.after(end)
+            if (call.brokeOff) poison.suspect(fingerprint, target.id)
+            val leftMs = call.deadlineMs - clock()
+            val next = afterAttempt(call.route, call.attempts, end, leftMs)
+            log.info {
+                "attempt failed: request=${call.facts.requestId} target=${target.id} end=$end next=$next left_ms=$leftMs"
+            }
+            when (next) {
+                NextStep.TRY_ANOTHER -> Unit
+                NextStep.REFUSE -> return refuse(call, UNAVAILABLE, "all targets are full", FULL_RETRY_AFTER_MS)
+                NextStep.FAIL -> return fail(call, leftMs)
+            }
+        }
+    }
+
+    private fun choose(call: ForwardedCall): TargetEntry? {
+        val candidates = call.route.backends.filter { it.weight > 0 }.flatMap { directory.usable(it.service) }
+        val fresh = candidates.filter { it.id !in call.tried }
+        val chosenService = loads.serviceFor(call.route, fresh) ?: return null
+        val ofService = fresh.filter { it.service == chosenService }
+        val healthy = ofService.filterNot { directory.isSuspect(it.id) }.ifEmpty { ofService }
+        return loads.pick(healthy, zone)
+    }
+
+    /** Returns null once the caller has its answer, else how the attempt ended. */
+    private suspend fun attempt(
+        call: ForwardedCall,
+        target: TargetEntry,
+    ): AttemptEnd? {
+        val atMostOnce = call.route.kind != RouteKind.SAFE
+        call.brokeOff = false
+        val connection =
+            try {
+                connections.take(target, fresh = atMostOnce)
+            } catch (e: ExchangeFailure.NotConnected) {
+                log.info { "target not reached: request=${call.facts.requestId} target=${target.id} cause=${e.message}" }
+                directory.failed(target.id)
+                return AttemptEnd.NOT_SENT
+            }
+        val leftMs = call.deadlineMs - clock()
+        if (leftMs <= 0) {
+            connections.giveBack(target.id, connection)
+            return AttemptEnd.NOT_SENT
+        }
+        loads.begin(target.id)
+        try {
+            val timeMs = attemptTimeMs(call.route, call.attempts, leftMs)
+            val terms = PassOn(target.id, call.organisation, leftMs, call.facts.lastEventId)
+            connection.send(targets.passOn(call.exchange.request, terms))
+            return withTimeoutOrNull(timeMs) { Outcome(answer(call, target, connection)) }
+                .let { if (it == null) timedOut(call, target) else it.end }
+        } catch (e: ExchangeFailure) {
+            directory.failed(target.id)
+            call.brokeOff = true
+            log.info { "answer broke off: request=${call.facts.requestId} target=${target.id} cause=${e.message}" }
+            return if (call.exchange.hasBegun) abort(call) else AttemptEnd.UNCERTAIN
+        } finally {
+            loads.end(target.id)
+            if (connection.busy) connection.close() else connections.giveBack(target.id, connection)
+        }
+    }
+
+    private fun timedOut(
+        call: ForwardedCall,
+        target: TargetEntry,
+    ): AttemptEnd? {
+        directory.failed(target.id)
+        return if (call.exchange.hasBegun) abort(call) else AttemptEnd.UNCERTAIN
+    }
+
+    private fun abort(call: ForwardedCall): AttemptEnd? {
+        call.exchange.abort()
+        return null
+    }
+
+    private suspend fun answer(
+        call: ForwardedCall,
+        target: TargetEntry,
+        connection: HttpConnection,
+    ): AttemptEnd? {
+        val head = connection.head()
+        val facts = targets.facts(head)
+        loads.reported(target.id, facts.load)
+        if (facts.requestId != null && facts.requestId != call.facts.requestId) return foreign(connection)
+        if (facts.notRun || head.status == MISDIRECTED) return notRun(target, head, connection)
+        countBegin(call)
+        if (!facts.isGenuine && head.status < FIRST_ERROR) return foreign(connection)
+        if (call.route.kind == RouteKind.STREAMING && head.status < FIRST_ERROR) {
+            streams.pass(call, head, connection)
+            return null
+        }
+        return passWhole(call, target, head, facts, connection)
+    }
+
+    private suspend fun passWhole(
+        call: ForwardedCall,
+        target: TargetEntry,
+        head: AnswerHead,
+        facts: AnswerFacts,
+        connection: HttpConnection,
+    ): AttemptEnd? {
+        val body = connection.wholeBody(MOST_WHOLE_BYTES)
+        val retryable = head.status >= FIRST_SERVER_ERROR && call.route.kind == RouteKind.SAFE
+        if (retryable && call.attempts.mayHaveRun + 1 < call.route.maxAttempts) {
+            directory.failed(target.id)
+            return AttemptEnd.UNCERTAIN
+        }
+        if (!facts.isGenuine) return AttemptEnd.UNCERTAIN
+        directory.worked(target.id)
+        call.exchange.respond(HttpAnswer(head.status, targets.answerHeaders(head), body))
+        metrics.count("requests", "outcome" to "answered", "route_kind" to call.route.kind.name.lowercase())
+        return null
+    }
+
+    private suspend fun notRun(
+        target: TargetEntry,
+        head: AnswerHead,
+        connection: HttpConnection,
+    ): AttemptEnd {
+        connection.wholeBody(MOST_WHOLE_BYTES)
+        if (head.status == MISDIRECTED) directory.failed(target.id)
+        return AttemptEnd.NOT_RUN
+    }
+
+    private fun foreign(connection: HttpConnection): AttemptEnd {
+        connection.close()
+        return AttemptEnd.UNCERTAIN
+    }
+
+    private fun countBegin(call: ForwardedCall) {
+        if (call.began) return
+        call.began = true
+        call.organisation?.let(countUse)
+    }
+
+    private fun noTarget(call: ForwardedCall) {
+        if (call.attempts.mayHaveRun > 0) return fail(call, call.deadlineMs - clock())
+        refuse(call, UNAVAILABLE, "no target of the service is in reach", NO_TARGET_RETRY_AFTER_MS)
+    }
+
+    private fun refuse(
+        call: ForwardedCall,
+        status: Int,
+        message: String,
+        retryAfterMs: Long?,
+    ) {
+        log.info { "request refused: request=${call.facts.requestId} status=$status reason=$message sent=${call.attempts.sent}" }
+        metrics.count("requests", "outcome" to "refused", "route_kind" to call.route.kind.name.lowercase())
+        call.exchange.respond(callers.refusal(status, message, retryAfterMs, call.facts))
+    }
+
+    /** The request may have run: says so, and promises nothing. */
+    private fun fail(
+        call: ForwardedCall,
+        leftMs: Long,
+    ) {
+        val status = if (leftMs <= LATE_MS) GATEWAY_TIMEOUT else BAD_GATEWAY
+        log.warn { "request failed: request=${call.facts.requestId} status=$status tried=${call.tried} left_ms=$leftMs" }
+        metrics.count("requests", "outcome" to "failed", "route_kind" to call.route.kind.name.lowercase())
+        call.exchange.respond(callers.refusal(status, "the outcome of the request is unknown", null, call.facts))
+    }
+
+    /** Distinguishes a finished attempt from a timeout. */
+    private class Outcome(
+        val end: AttemptEnd?,
+    )
+
+    private companion object {
+        const val FIRST_ERROR = 400
+        const val FIRST_SERVER_ERROR = 500
+        const val MISDIRECTED = 421
+        const val UNAVAILABLE = 503
+        const val BAD_GATEWAY = 502
+        const val GATEWAY_TIMEOUT = 504
+        const val LATE_MS = 20L
+
+        /** Answers up to this size are held until they are complete, so that a cut one can be asked for again. */
+        const val MOST_WHOLE_BYTES = 8_000_000
+
+        /** A full target frees a slot within about one piece of work. */
+        const val FULL_RETRY_AFTER_MS = 60L
+
+        /** Targets that lapsed are back within about a second. */
+        const val NO_TARGET_RETRY_AFTER_MS = 300L
+    }
+}
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorWork.kt
@@ -0,0 +1,133 @@
+/*
+ * Builds the parts of a coordinator's term anew for each term.
+ */
+package io.guavashore.edge.process
+
+import io.guavashore.api.MonotonicClock
+import io.guavashore.api.WallClock
+import io.guavashore.edge.batches.BatchRunner
+import io.guavashore.edge.batches.BatchStore
+import io.guavashore.edge.batches.EnginePace
+import io.guavashore.edge.batches.ItemCall
+import io.guavashore.edge.coordinator.Term
+import io.guavashore.edge.declared.ModelId
+import io.guavashore.edge.duties.DutyRight
+import io.guavashore.edge.duties.ScaleDuty
+import io.guavashore.edge.duties.UsageBook
+import io.guavashore.edge.duties.UsageDuty
+import io.guavashore.edge.peers.PeerCall
+import io.guavashore.edge.peers.PeerReply
+import io.guavashore.edge.targets.TargetConnections
+import io.guavashore.edge.targets.TargetDirectory
+import io.guavashore.edge.weights.WeightDuty
+import io.guavashore.platform.CallStore
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+
+/** What outlives a term. */
+class CoordinatorParts(
+    val ports: PlatformPorts,
+    val settings: EdgeSettings,
+    val batchStore: BatchStore,
+    val call: CallStore,
+    val directory: TargetDirectory,
+    val connections: TargetConnections,
+    val beliefs: Beliefs,
+    val usage: UsageBook,
+    val pace: EnginePace,
+)
+
+/** Work of the coordinator, while this VM is the coordinator. */
+class CoordinatorWork(
+    private val parts: CoordinatorParts,
+    private val clock: MonotonicClock,
+    private val trueTimeMs: WallClock,
+    private val right: () -> DutyRight?,
+) {
+    private var term: Term? = null
+    private var runner: BatchRunner? = null
+    private var weights: WeightDuty? = null
+
+    /** Starts a term; it ends with [scope]. */
+    fun begin(scope: CoroutineScope) {
+        val keeper = weightDuty(scope)
+        val batches = batchRunner(scope, keeper)
+        val current = Term(batches, parts.batchStore, parts.call, parts.ports.emptiedStatus, trueTimeMs)
+        runner = batches
+        weights = keeper
+        term = current
+        scope.launch { current.followBatches() }
+        scope.launch { current.followRetirements(SharedCollections.RETIREMENTS) }
+        scope.launch { current.removeOldBatches() }
+        scope.launch { batches.run() }
+        scope.launch { keeper.run() }
+        scope.launch { usageDuty().run() }
+        scope.launch { scaleDuty(batches).run() }
+    }
+
+    /** Answers a call that only a coordinator can answer. */
+    suspend fun answer(call: PeerCall): PeerReply = term?.answer(call) ?: PeerReply.NotHere
+
+    /** Has the work look at changed beliefs. */
+    fun onBeliefsChanged() {
+        runner?.wake()
+        weights?.wake()
+    }
+
+    private fun batchRunner(
+        scope: CoroutineScope,
+        keeper: WeightDuty,
+    ) = BatchRunner(
+        scope = scope,
+        store = parts.batchStore,
+        call = ItemCall(parts.ports.targets, parts.connections, parts.directory, parts.pace, clock),
+        directory = parts.directory,
+        pace = parts.pace,
+        declared = { parts.beliefs.declaration },
+        loading = keeper::isLoading,
+        modelOf = keeper::modelOf,
+        clock = clock,
+        wallClock = trueTimeMs,
+    )
+
+    private fun weightDuty(scope: CoroutineScope) =
+        WeightDuty(
+            scope = scope,
+            declared = { parts.beliefs.declaration },
+            named = { parts.beliefs.namedVersions },
+            leastWanted = ::leastWanted,
+            directory = parts.directory,
+            connections = parts.connections,
+            protocol = parts.ports.targets,
+            runningOn = { runner?.runningOn(it) ?: 0 },
+            right = right,
+            clock = clock,
+            onLoaded = { runner?.wake() },
+        )
+
+    private fun leastWanted(model: ModelId): Long =
+        runner
+            ?.open
+            ?.filter { it.record.model == model }
+            ?.maxOfOrNull { it.record.leastVersion } ?: 0
+
+    private fun usageDuty() =
+        UsageDuty(
+            book = parts.usage,
+            port = parts.ports.duties,
+            call = parts.call,
+            right = right,
+            trueTimeMs = trueTimeMs,
+            windowMs = parts.settings.usageWindowMs,
+        )
+
+    private fun scaleDuty(batches: BatchRunner) =
+        ScaleDuty(
+            declared = { parts.beliefs.declaration },
+            openItems = { service -> batches.openItemsOf(service) },
+            running = { service, zone -> parts.directory.usable(service).count { it.zone == zone } },
+            port = parts.ports.duties,
+            right = right,
+            clock = clock,
+        )
+}
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -0,0 +1,242 @@
+/*
+ * Wires the edge: entrance for callers, copy of the shared collections, peers, and the coordinator's work.
+ */
+package io.guavashore.edge.process
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.MonotonicClock
+import io.guavashore.api.WallClock
+import io.guavashore.api.systemMonotonicClock
+import io.guavashore.api.systemWallClock
+import io.guavashore.edge.batches.BatchDesk
+import io.guavashore.edge.batches.BatchStore
+import io.guavashore.edge.batches.EnginePace
+import io.guavashore.edge.catalog.Catalog
+import io.guavashore.edge.catalog.CatalogSync
+import io.guavashore.edge.coordinator.Coordinator
+import io.guavashore.edge.coordinator.SuspensionGuard
+import io.guavashore.edge.coordinator.leaseObjects
+import io.guavashore.edge.duties.TrueTime
+import io.guavashore.edge.duties.UsageBook
+import io.guavashore.edge.forward.Forwarder
+import io.guavashore.edge.forward.PoisonList
+import io.guavashore.edge.front.Front
+import io.guavashore.edge.peers.PeerCall
+import io.guavashore.edge.peers.PeerEvents
+import io.guavashore.edge.peers.PeerMesh
+import io.guavashore.edge.peers.PeerMessage
+import io.guavashore.edge.peers.PeerReply
+import io.guavashore.edge.peers.Pulse
+import io.guavashore.edge.peers.SharedStore
+import io.guavashore.edge.peers.VmCard
+import io.guavashore.edge.targets.TargetConnections
+import io.guavashore.edge.targets.TargetDirectory
+import io.guavashore.metrics.Metrics
+import io.guavashore.net.CallerLimits
+import io.guavashore.net.HttpAnswer
+import io.guavashore.net.HttpDialer
+import io.guavashore.net.HttpServer
+import io.guavashore.net.ProcessLoop
+import io.guavashore.platform.StoreCall
+import io.guavashore.platform.StoreFault
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
+
+private val log = KotlinLogging.logger {}
+
+/** One edge process. */
+class EdgeProcess(
+    private val settings: EdgeSettings,
+    private val ports: PlatformPorts,
+    private val loop: ProcessLoop,
+    private val clock: MonotonicClock = systemMonotonicClock,
+    private val wallClock: WallClock = systemWallClock,
+) : PeerEvents {
+    private val card =
+        VmCard(settings.vm, settings.incarnation, settings.peers.toString(), settings.zone, settings.capacity)
+    private val metrics = Metrics()
+    private val trueTime = TrueTime(wallClock, clock)
+    private val usage = UsageBook(settings.vm, settings.incarnation, settings.usageWindowMs, trueTime::nowMs)
+    private val mesh = PeerMesh(card, loop, clock, this)
+    private val store = SharedStore(ports.store, ::helpers, mesh::call, clock)
+    private val catalog =
+        Catalog(
+            listOf(
+                SharedCollections.DECLARATION,
+                SharedCollections.TARGETS,
+                SharedCollections.NAMED_VERSIONS,
+                SharedCollections.VMS,
+            ),
+        )
+    private val directory: TargetDirectory = TargetDirectory(ports.decodeTarget, clock) { sync.storeWasAway() }
+    private val beliefs = Beliefs(ports, directory)
+    private val sync: CatalogSync =
+        CatalogSync(card.vm, catalog, store::call, mesh::alive, mesh::broadcast, ::onChanges, clock)
+    private val connections = TargetConnections(HttpDialer(loop))
+    private val batchStore = BatchStore(store::call, clock)
+    private val work =
+        CoordinatorWork(
+            CoordinatorParts(ports, settings, batchStore, store::call, directory, connections, beliefs, usage, EnginePace()),
+            clock,
+            trueTime::nowMs,
+        ) { coordinator.right() }
+    private val coordinator: Coordinator =
+        Coordinator(
+            card = card,
+            scope = loop.scope,
+            store = leaseObjects(store::call, LEASE_TIMEOUT_MS),
+            alivePeers = mesh::alive,
+            clock = clock,
+            guard = SuspensionGuard(clock, wallClock),
+            isStopping = { stopping },
+            beginTerm = work::begin,
+            announce = mesh::pingAll,
+        )
+    private val desk = BatchDesk(batchStore, ::askCoordinator, clock)
+    private val forwarder =
+        Forwarder(
+            zone = settings.zone,
+            directory = directory,
+            connections = connections,
+            targets = ports.targets,
+            callers = ports.callers,
+            poison = PoisonList(clock),
+            countUse = usage::count,
+            metrics = metrics,
+            clock = clock,
+        )
+    private val front =
+        Front({ beliefs.declaration }, ports.callers, forwarder, desk, metrics, clock, trueTime::nowMs)
+    private val server = HttpServer(loop, { beliefs.declaration?.limits ?: CallerLimits() }, front::handle)
+    private var stopping = false
+
+    /** Opens all sockets and starts all work. */
+    suspend fun start() {
+        log.info { "edge starts: vm=${card.vm} incarnation=${card.incarnation} zone=${card.zone} callers=${settings.callers}" }
+        mesh.listen(settings.peers)
+        settings.knownPeers.forEach { mesh.meet(it.toString()) }
+        server.listen(settings.callers)
+        listenForOperations()
+        catalog.collections.forEach { collection -> loop.scope.launch { sync.follow(collection) } }
+        loop.scope.launch { register() }
+        loop.scope.launch { coordinator.run() }
+    }
+
+    /** Stops taking callers, finishes what runs, and hands the coordinator's work on; returns when all is done. */
+    suspend fun stop() {
+        log.info { "edge stops: active_requests=${server.activeRequests} coordinator=${coordinator.isActive}" }
+        stopping = true
+        val deadlineMs = clock() + settings.stopGraceMs - STOP_MARGIN_MS
+        coordinator.release()
+        server.beginStop()
+        mesh.pingAll()
+        val leaveMs = clock() + BALANCER_MS
+        while (clock() < deadlineMs && (clock() < leaveMs || server.activeRequests > 0)) delay(STOP_LOOK_EVERY_MS)
+        coordinator.stop()
+        server.closeIdle()
+        log.info { "edge stopped: active_requests=${server.activeRequests}" }
+    }
+
+    override fun pulse() =
+        Pulse(
+            card = card,
+            wallMs = wallClock(),
+            newest = catalog.collections.associateWith { catalog.newestChange(it) },
+            claim = coordinator.claim(),
+            usage = usage.ownCounts(),
+            storeReachable = store.isReachable,
+            stopping = stopping,
+        )
+
+    override fun onPulse(pulse: Pulse) {
+        trueTime.onPulse(pulse.card.vm, pulse.wallMs)
+        usage.merge(pulse.card.vm, pulse.card.incarnation, pulse.usage)
+        pulse.claim?.let(coordinator::onClaim)
+        sync.lacking(pulse).forEach { mesh.send(pulse.card.vm, it) }
+    }
+
+    override fun onNews(news: PeerMessage.News) = sync.onNews(news)
+
+    override fun onNewsWanted(wanted: PeerMessage.NewsWanted) = sync.onNewsWanted(wanted)
+
+    override suspend fun onCall(call: PeerCall): PeerReply =
+        if (call is PeerCall.Store) {
+            val outcome = store.callDirect(call.call, call.timeoutMs)
+            PeerReply.Store(answer = if (outcome.isOk) outcome.value else null, fault = if (outcome.isErr) outcome.error else null)
+        } else {
+            work.answer(call)
+        }
+
+    private suspend fun askCoordinator(
+        call: PeerCall,
+        timeoutMs: Long,
+    ): PeerReply? {
+        val holder = coordinator.current() ?: return null
+        return if (holder == card.vm) work.answer(call) else mesh.call(holder, call, timeoutMs)
+    }
+
+    private fun helpers() =
+        mesh
+            .alive()
+            .filter { it.storeReachable && !it.stopping }
+            .map { it.card.vm }
+
+    private fun onChanges(
+        collection: io.guavashore.platform.Collection,
+        changes: List<io.guavashore.platform.EntryChange>,
+    ) {
+        beliefs.apply(collection, changes)
+        if (collection == SharedCollections.VMS) changes.forEach(::meet)
+        if (collection == SharedCollections.TARGETS) connections.retain(directory.all().mapTo(HashSet()) { it.id })
+        work.onBeliefsChanged()
+    }
+
+    private fun meet(change: io.guavashore.platform.EntryChange) {
+        val known = Json.decodeFromString<VmCard>(change.entry.content)
+        if (change.deleted) mesh.forget(known.address) else mesh.meet(known.address)
+    }
+
+    /** Writes this VM's card, so that others find it. */
+    private suspend fun register() {
+        val content = Json.encodeToString(card)
+        while (true) {
+            val created = store.call(StoreCall.Create(SharedCollections.VMS, card.vm.value, content), REGISTER_TIMEOUT_MS)
+            if (created.isOk) return
+            if (created.error is StoreFault.Conflict) {
+                val replace = StoreCall.Replace(SharedCollections.VMS, card.vm.value, content)
+                if (store.call(replace, REGISTER_TIMEOUT_MS).isOk) return
+            }
+            log.warn { "not registered yet: fault=${created.error.message}" }
+            delay(REGISTER_PAUSE_MS)
+        }
+    }
+
+    private suspend fun listenForOperations() {
+        HttpServer(loop, { CallerLimits() }) { exchange ->
+            val ready = beliefs.declaration != null && !stopping
+            exchange.respond(HttpAnswer(if (ready) OK else UNAVAILABLE))
+        }.listen(settings.readiness)
+        val address = settings.metrics ?: return
+        HttpServer(loop, { CallerLimits() }) { exchange ->
+            exchange.respond(HttpAnswer(OK, body = metrics.scrape().encodeToByteArray()))
+        }.listen(address)
+    }
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+
+        /** Well below the third of a lease's term that its margin leaves. */
+        const val LEASE_TIMEOUT_MS = 500L
+        const val REGISTER_TIMEOUT_MS = 1_000L
+        const val REGISTER_PAUSE_MS = 500L
+
+        /** The balancer asks once a second and gives a VM up after two misses. */
+        const val BALANCER_MS = 2_600L
+
+        /** Left of the grace for closing sockets. */
+        const val STOP_MARGIN_MS = 700L
+        const val STOP_LOOK_EVERY_MS = 50L
+    }
+}
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
@@ -0,0 +1,71 @@
+/*
+ * What targets understand, as function types that an adapter fills in.
+ */
+package io.guavashore.edge.targets
+
+import io.guavashore.api.OrganisationId
+import io.guavashore.api.TargetId
+import io.guavashore.edge.batches.ItemSpec
+import io.guavashore.edge.declared.ModelId
+import io.guavashore.net.AnswerHead
+import io.guavashore.net.HttpMessage
+
+/** Terms under which a caller's request is passed on. [deadlineInMs] is the time left, as the wire wants it. */
+data class PassOn(
+    val target: TargetId,
+    val organisation: OrganisationId?,
+    val deadlineInMs: Long?,
+    val lastEventId: Long? = null,
+)
+
+/**
+ * What a target's answer says beside its body.
+ *
+ * @property isGenuine true if the target vouches for the answer
+ * @property notRun true if the target says that it did not run the request
+ * @property requestId id of the request that it answers, if it says so
+ * @property weightVersion version of the weights at the answer's beginning
+ * @property load requests that run and wait there
+ */
+data class AnswerFacts(
+    val isGenuine: Boolean,
+    val notRun: Boolean,
+    val requestId: String?,
+    val weightVersion: Long?,
+    val load: ReportedLoad?,
+)
+
+data class ReportedLoad(
+    val running: Int,
+    val waiting: Int,
+    val slots: Int,
+)
+
+/** Order to load weights. [expectedOrders] is the number of orders that the engine must have taken so far. */
+data class WeightOrder(
+    val model: ModelId,
+    val version: Long,
+    val keepRunning: Boolean,
+    val holder: String,
+    val fencingNumber: Long,
+    val expectedOrders: Long?,
+)
+
+/** State that an engine reports when it is asked. */
+data class EngineReport(
+    val versions: Map<ModelId, Long>,
+    val isBusy: Boolean,
+    val ordersTaken: Long,
+)
+
+/** Builds and reads messages of targets. */
+class TargetProtocol(
+    val passOn: (request: HttpMessage, terms: PassOn) -> HttpMessage,
+    val itemRequest: (item: ItemSpec, host: String, terms: PassOn) -> HttpMessage,
+    val facts: (AnswerHead) -> AnswerFacts,
+    val answerHeaders: (AnswerHead) -> io.guavashore.net.Headers,
+    val eventVersion: (line: String) -> Long?,
+    val order: (target: TargetId, order: WeightOrder) -> HttpMessage,
+    val reportRequest: (target: TargetId) -> HttpMessage,
+    val report: (body: ByteArray) -> EngineReport?,
+)
--- a/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseMachine.kt
+++ b/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseMachine.kt
@@ -66,6 +66,30 @@
     /** The lease if it is held at [nowMs], else null. */
     fun heldAt(nowMs: Long): HeldLease? = held?.takeIf { nowMs < it.untilMs }
 
+    /** The lease as this process, its holder, last wrote it, with the version of that write; else null. */
+    fun claimAt(nowMs: Long): Pair<LeaseRecord, ObjectVersion>? {
+        val holding = heldAt(nowMs) ?: return null
+        val version = seen?.takeIf { it.record == holding.record }?.version ?: return null
+        return holding.record to version
+    }
+
+    /**
+     * Gives up the right to act until the store has been read and written again: the process may have stood still
+     * while its monotonic clock did too.
+     */
+    fun doubt() {
+        held = null
+        mustRead = true
+    }
+
+    /** Gives the lease up for good; the write tells successors that they need not wait. */
+    fun release(nowMs: Long): LeaseAction {
+        val holding = heldAt(nowMs) ?: return LeaseAction.Wait
+        val current = seen ?: return LeaseAction.Wait
+        held = null
+        return LeaseAction.Write(holding.record.copy(renewal = ++renewals, released = true), current.version)
+    }
+
     /** Sets the intent to be written with the next renewal, which is due at once. */
     fun setIntent(intent: OrderIntent?) {
         wantedIntent = intent
@@ -147,14 +171,20 @@
     private fun mayChallenge(
         current: Seen,
         nowMs: Long,
-    ): Boolean = current.record == null || nowMs >= current.firstSeenAtMs + terms.termMs + terms.marginMs
+    ): Boolean {
+        val record = current.record ?: return true
+        if (record.released || record.holder == self) return true
+        return nowMs >= current.firstSeenAtMs + terms.termMs + terms.marginMs
+    }
 
-    /** A successor keeps the predecessor's intent until it has settled it. */
+    /** A successor keeps the predecessor's intent until it has settled it; a holder that goes on keeps its number. */
     private fun challenge(previous: LeaseRecord?): LeaseRecord {
         wantedIntent = previous?.intent
+        val goesOn = previous != null && previous.holder == self && !previous.released
+        val number = previous?.fencingNumber?.value ?: 0
         return LeaseRecord(
             holder = self,
-            fencingNumber = FencingNumber((previous?.fencingNumber?.value ?: 0) + 1),
+            fencingNumber = FencingNumber(if (goesOn) number else number + 1),
             renewal = ++renewals,
             intent = previous?.intent,
         )
--- a/guavashore-metrics/src/main/kotlin/io/guavashore/metrics/Logs.kt
+++ b/guavashore-metrics/src/main/kotlin/io/guavashore/metrics/Logs.kt
@@ -3,6 +3,7 @@
  */
 package io.guavashore.metrics
 
+import ch.qos.logback.classic.AsyncAppender
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder
@@ -33,6 +34,38 @@
     context.getLogger("io.guavashore").level = Level.toLevel(level)
 }
 
+/**
+ * Sends logs to the standard output, as JSON lines. A line is handed to another thread through a bounded queue; when the
+ * queue is full, lines are dropped, so that no request waits for its log.
+ */
+fun configureProcessLogs() {
+    val context = LoggerFactory.getILoggerFactory() as LoggerContext
+    context.reset()
+    val output =
+        ConsoleAppender<ILoggingEvent>().apply {
+            this.context = context
+            target = "System.out"
+            encoder = jsonEncoder(context)
+            start()
+        }
+    val queue =
+        AsyncAppender().apply {
+            this.context = context
+            queueSize = LOG_QUEUE_LINES
+            discardingThreshold = 0
+            isNeverBlock = true
+            addAppender(output)
+            start()
+        }
+    val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
+    root.addAppender(queue)
+    root.level = Level.WARN
+    context.getLogger("io.guavashore").level = Level.INFO
+}
+
+/** About one second of lines at the highest rate of decisions. */
+private const val LOG_QUEUE_LINES = 2_048
+
 private fun jsonEncoder(context: LoggerContext): Encoder<ILoggingEvent> =
     LogstashEncoder().apply {
         this.context = context
--- /dev/null
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/Frames.kt
@@ -0,0 +1,99 @@
+/*
+ * Length-prefixed frames over TCP, for messages between VMs of the system.
+ */
+package io.guavashore.net
+
+import io.guavashore.api.Endpoint
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandler
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder
+import io.netty.handler.codec.LengthFieldPrepender
+
+/** Takes one frame that arrived on [FrameConnection]. */
+typealias FrameHandler = (FrameConnection, ByteArray) -> Unit
+
+/** One connection between two VMs. */
+class FrameConnection internal constructor(
+    private val onFrame: FrameHandler,
+    private val onClose: (FrameConnection) -> Unit,
+) : SimpleChannelInboundHandler<ByteBuf>() {
+    private lateinit var channel: Channel
+
+    val isOpen: Boolean get() = channel.isActive
+
+    /** Sends [frame]; false if the other side has not read what was sent before. */
+    fun send(frame: ByteArray): Boolean {
+        if (!channel.isActive) return false
+        if (channel.bytesBeforeWritable() > MOST_UNSENT_BYTES) return false
+        channel.writeAndFlush(Unpooled.wrappedBuffer(frame))
+        return true
+    }
+
+    fun close() {
+        channel.close()
+    }
+
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        channel = ctx.channel()
+    }
+
+    override fun channelRead0(
+        ctx: ChannelHandlerContext,
+        frame: ByteBuf,
+    ) = onFrame(this, ByteBufUtil.getBytes(frame))
+
+    override fun exceptionCaught(
+        ctx: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        ctx.close()
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) = onClose(this)
+
+    internal companion object {
+        /** Largest frame: a submission of the largest accepted body, encoded. */
+        private const val MOST_FRAME_BYTES = 64_000_000
+        private const val LENGTH_BYTES = 4
+
+        /** Unsent bytes beyond which a peer counts as not reading. */
+        private const val MOST_UNSENT_BYTES = 8_000_000L
+
+        fun handlers(connection: FrameConnection): List<ChannelHandler> =
+            listOf(
+                LengthFieldBasedFrameDecoder(MOST_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+                LengthFieldPrepender(LENGTH_BYTES),
+                connection,
+            )
+    }
+}
+
+/** Opens a connection to the VM at [endpoint]; fails with [ExchangeFailure.NotConnected]. */
+suspend fun connectFrames(
+    loop: ProcessLoop,
+    endpoint: Endpoint,
+    timeoutMs: Long,
+    onFrame: FrameHandler,
+    onClose: (FrameConnection) -> Unit,
+): FrameConnection {
+    val connection = FrameConnection(onFrame, onClose)
+    dial(loop, endpoint, timeoutMs) { FrameConnection.handlers(connection) }
+    return connection
+}
+
+/** Accepts connections of other VMs at [endpoint]; returns the address in use. */
+suspend fun listenFrames(
+    loop: ProcessLoop,
+    endpoint: Endpoint,
+    onFrame: FrameHandler,
+): Endpoint =
+    bind(loop, endpoint) { channel ->
+        FrameConnection
+            .handlers(FrameConnection(onFrame, onClose = {}))
+            .forEach { channel.pipeline().addLast(it) }
+    }
--- /dev/null
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/Sockets.kt
@@ -0,0 +1,91 @@
+/*
+ * Opens and accepts TCP connections on the process's loop.
+ */
+package io.guavashore.net
+
+import io.guavashore.api.Endpoint
+import io.netty.bootstrap.Bootstrap
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandler
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.nio.NioChannelOption
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import jdk.net.ExtendedSocketOptions
+import kotlinx.coroutines.suspendCancellableCoroutine
+import java.net.InetSocketAddress
+import kotlin.coroutines.resume
+
+/** Connects a channel with the given handlers. */
+internal suspend fun dial(
+    loop: ProcessLoop,
+    endpoint: Endpoint,
+    timeoutMs: Long,
+    handlers: () -> List<ChannelHandler>,
+): Channel {
+    val future = bootstrap(loop, timeoutMs, handlers).connect(endpoint.host, endpoint.port)
+    future.awaitDone()
+    if (!future.isSuccess) throw ExchangeFailure.NotConnected("$endpoint: ${future.cause().message}")
+    return future.channel()
+}
+
+private fun bootstrap(
+    loop: ProcessLoop,
+    timeoutMs: Long,
+    handlers: () -> List<ChannelHandler>,
+) = Bootstrap()
+    .group(loop.netty)
+    .channel(NioSocketChannel::class.java)
+    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs.coerceAtLeast(1).toInt())
+    .option(ChannelOption.TCP_NODELAY, true)
+    .option(ChannelOption.SO_KEEPALIVE, true)
+    .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_S)
+    .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_S)
+    .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
+    .handler(
+        object : ChannelInitializer<Channel>() {
+            override fun initChannel(channel: Channel) {
+                handlers().forEach { channel.pipeline().addLast(it) }
+            }
+        },
+    )
+
+/** Listens at [endpoint] and sets accepted channels up with [initialize]; returns the address in use. */
+internal suspend fun bind(
+    loop: ProcessLoop,
+    endpoint: Endpoint,
+    initialize: (Channel) -> Unit,
+): Endpoint {
+    val future =
+        ServerBootstrap()
+            .group(loop.netty)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                object : ChannelInitializer<Channel>() {
+                    override fun initChannel(channel: Channel) = initialize(channel)
+                },
+            ).bind(endpoint.host, endpoint.port)
+    future.awaitDone()
+    if (!future.isSuccess) throw java.io.IOException("can't listen at $endpoint: ${future.cause().message}")
+    return endpoint.copy(port = (future.channel().localAddress() as InetSocketAddress).port)
+}
+
+private suspend fun ChannelFuture.awaitDone() =
+    suspendCancellableCoroutine { continuation ->
+        addListener { continuation.resume(Unit) }
+        continuation.invokeOnCancellation { channel().close() }
+    }
+
+/** Keep-alive probes find a peer that vanished without a reset within 3 s, the shortest bound that operators set. */
+private const val KEEPALIVE_IDLE_S = 1
+private const val KEEPALIVE_INTERVAL_S = 1
+private const val KEEPALIVE_PROBES = 2
+
+/** Connections that callers open in one burst before the loop accepts them. */
+private const val BACKLOG = 512
