--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Batch.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Batch.kt
@@ -17,7 +17,9 @@
     override fun toString() = value
 }
 
-/** Item of a batch, by the id that its caller gave it; an item that was not finished may come again in another batch. */
+/**
+ * Item of a batch, by the id that its caller gave it; an item that was not finished may come again in another batch.
+ */
 @JvmInline
 @Serializable
 value class ItemId(
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchDesk.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchDesk.kt
@@ -1,14 +1,15 @@
 /*
  * Takes batches in and answers for them, on every VM.
  *
- * A batch is acknowledged once the store holds it. Reads go to the coordinator, which knows results the moment that they are
- * listed; without it, they are answered from the store.
+ * A batch is acknowledged once the store holds it. Reads go to the coordinator, which knows results the moment that
+ * they are listed; without it, they are answered from the store.
  */
 package io.guavashore.edge.batches
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.OrganisationId
@@ -144,7 +145,7 @@
         record: BatchRecord,
         fault: StoreFault.Conflict,
     ): Result<Unit, BatchRefusal> {
-        val present = fault.current?.let(store::decode)?.record ?: store.read(id).let { if (it.isOk) it.value else null }?.record
+        val present = (fault.current?.let(store::decode) ?: store.read(id).get())?.record
         if (present == null) return refused(id, fault, BatchRefusal.UNCERTAIN)
         val same = present.digest == record.digest && present.organisation == record.organisation
         log.info { "batch submitted again: batch=$id same=$same" }
@@ -198,6 +199,9 @@
         private const val END_TIMEOUT_MS = 1_500L
         private const val MOST_KNOWN = 2_000
 
-        fun decodeBody(spec: ItemSpec): ByteArray = java.util.Base64.getDecoder().decode(spec.bodyBase64)
+        fun decodeBody(spec: ItemSpec): ByteArray =
+            java.util.Base64
+                .getDecoder()
+                .decode(spec.bodyBase64)
     }
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchRunner.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchRunner.kt
@@ -8,9 +8,9 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
+import io.guavashore.api.ServiceId
 import io.guavashore.api.TargetId
 import io.guavashore.api.WallClock
-import io.guavashore.api.ServiceId
 import io.guavashore.edge.declared.ModelId
 import io.guavashore.edge.declared.ServiceMap
 import io.guavashore.edge.declared.TargetEntry
@@ -26,6 +26,12 @@
 
 private val log = KotlinLogging.logger {}
 
+/** What the weights keeper says of an engine: whether it loads, and whether it takes requests of a model. */
+class EngineUses(
+    val isLoading: (TargetId) -> Boolean,
+    val serves: (TargetId, ModelId) -> Boolean,
+)
+
 /** Runner of batches in [scope], which is cancelled when this VM ceases to be the coordinator. */
 class BatchRunner(
     private val scope: CoroutineScope,
@@ -34,8 +40,7 @@
     private val directory: TargetDirectory,
     private val pace: EnginePace,
     private val declared: () -> ServiceMap?,
-    private val loading: (TargetId) -> Boolean,
-    private val modelOf: (TargetId) -> ModelId?,
+    private val uses: EngineUses,
     private val clock: MonotonicClock,
     private val wallClock: WallClock,
     private val terms: PlacementTerms = PlacementTerms(),
@@ -154,11 +159,11 @@
             service = entry.service,
             slots = spec.slots,
             memoryTokens = spec.memoryTokens,
-            versions = directory.versions(entry).filterKeys { modelOf(entry.id) == null || modelOf(entry.id) == it },
+            versions = directory.versions(entry).filterKeys { uses.serves(entry.id, it) },
             running = here.size,
             reservedTokens = here.sumOf { it.item.memoryNeed(terms) },
             msPerEvent = pace.of(entry.id),
-            isUsable = !loading(entry.id) && !directory.isSuspect(entry.id),
+            isUsable = !uses.isLoading(entry.id) && !directory.isSuspect(entry.id),
         )
     }
 
@@ -300,7 +305,9 @@
                 val chunk = ResultChunk(items.mapNotNull { it.result })
                 val written = store.append(batch.id, batch.nextChunk, chunk)
                 batch.list(written)
-                log.info { "results listed: batch=${batch.id} chunk=${batch.nextChunk - 1} total=${batch.results.size}" }
+                log.info {
+                    "results listed: batch=${batch.id} chunk=${batch.nextChunk - 1} total=${batch.results.size}"
+                }
             } finally {
                 committing -= batch.id
                 wake()
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
@@ -109,8 +109,7 @@
     }
 
     /** Results that wait to be written, oldest first. */
-    fun unlisted(): List<ItemState> =
-        items.filter { it.phase == ItemPhase.SETTLED }.sortedBy { it.settledAtMs }
+    fun unlisted(): List<ItemState> = items.filter { it.phase == ItemPhase.SETTLED }.sortedBy { it.settledAtMs }
 
     /** Takes in a chunk that is in the store, whoever wrote it. */
     fun list(chunk: ResultChunk) {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchStore.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchStore.kt
@@ -1,9 +1,9 @@
 /*
  * Batches and their results in the platform's store.
  *
- * A batch is one object made by a create-only call before its submission is acknowledged. Its results are a sequence of chunks
- * in a collection of their own, each made by a create-only call too. So positions and contents are fixed by
- * the store, whoever runs the batch: of two runners that write the same chunk one is refused and takes over the other's.
+ * A batch is one object made by a create-only call before its submission is acknowledged. Its results are a sequence of
+ * chunks in a collection of their own, each made by a create-only call too. So positions and contents are fixed by the
+ * store, whoever runs the batch: of two runners that write the same chunk one is refused and takes over the other's.
  */
 package io.guavashore.edge.batches
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/CommitPolicy.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/CommitPolicy.kt
@@ -7,14 +7,6 @@
  */
 package io.guavashore.edge.batches
 
-/** Terms of the policy. */
-data class CommitTerms(
-    /** Settled results of open groups are written when the oldest is this old; a failover repeats that much work. */
-    val longestHoldMs: Long = 1_500,
-    /** Most bytes of text in one chunk; a value of the store holds 1 MiB, and JSON escapes add to the text. */
-    val mostChunkBytes: Int = 600_000,
-)
-
 /** Results of [batch] to write now, or none. */
 fun resultsToCommit(
     batch: BatchState,
@@ -32,3 +24,11 @@
         item === unlisted.first() || bytes <= terms.mostChunkBytes
     }
 }
+
+/** Terms of the policy. */
+data class CommitTerms(
+    /** Settled results of open groups are written when the oldest is this old; a failover repeats that much work. */
+    val longestHoldMs: Long = 1_500,
+    /** Most bytes of text in one chunk; a value of the store holds 1 MiB, and JSON escapes add to the text. */
+    val mostChunkBytes: Int = 600_000,
+)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/EarlierTexts.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/EarlierTexts.kt
@@ -1,6 +1,6 @@
 /*
- * Texts of items whose groups were not complete when their batch ended. A trainer may submit such a group again under the
- * same ids; its items go on from here if the versions of the weights fit.
+ * Texts of items whose groups were not complete when their batch ended. A trainer may submit such a group again under
+ * the same ids; its items go on from here if the versions of the weights fit.
  */
 package io.guavashore.edge.batches
 
@@ -12,7 +12,8 @@
 
     /** Keeps what an ended batch leaves behind. */
     fun keep(batch: BatchState) {
-        val whole = batch.items.groupBy { it.group }.filterValues { items -> items.all { it.phase == ItemPhase.LISTED } }
+        val groups = batch.items.groupBy { it.group }
+        val whole = groups.filterValues { items -> items.all { it.phase == ItemPhase.LISTED } }
         batch.items
             .filter { it.group !in whole && it.progress.size > 0 }
             .forEach { put(it.spec.id, it.progress.events().toList()) }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
@@ -2,8 +2,8 @@
  * Which waiting item runs on which engine next, and which running item should move.
  *
  * Load pattern: a trainer submits all items of a step at once and waits for nearly all of its groups, so a step takes
- * as long as its longest items. Lengths are skewed (a twelfth of the items are five times as long as the others), engines
- * differ in speed, and some become several times slower for seconds. Reading a prompt anew costs a few
+ * as long as its longest items. Lengths are skewed (a twelfth of the items are five times as long as the others),
+ * engines differ in speed, and some become several times slower for seconds. Reading a prompt anew costs a few
  * milliseconds, so a run that is moved loses next to nothing.
  */
 package io.guavashore.edge.batches
@@ -61,8 +61,8 @@
 )
 
 /**
- * Order in which waiting items are placed: earlier due first, then what a trainer waits for in any case (groups that are
- * carried over come first in a batch), longest first within that.
+ * Order in which waiting items are placed: earlier due first, then what a trainer waits for in any case (groups that
+ * are carried over come first in a batch), longest first within that.
  */
 fun dispatchOrder(
     demands: List<ItemDemand>,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/Catalog.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/Catalog.kt
@@ -26,7 +26,10 @@
 
     /** Objects of [collection] that exist, by name. */
     fun entries(collection: Collection): List<StoredEntry> =
-        copy(collection).changes.values.filterNot { it.deleted }.map { it.entry }
+        copy(collection)
+            .changes.values
+            .filterNot { it.deleted }
+            .map { it.entry }
 
     fun entry(
         collection: Collection,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/CatalogSync.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/CatalogSync.kt
@@ -103,7 +103,11 @@
         collection: Collection,
         fault: StoreFault,
     ) {
-        log.warn { "store not followed: collection=$collection as_of=${catalog.asOf(collection)} fault=${fault.message}" }
+        log.warn {
+            "store not followed: collection=$collection as_of=${catalog.asOf(
+                collection,
+            )} fault=${fault.message}"
+        }
         if (fault != StoreFault.HistoryGone) {
             awayUntilMs = clock() + AWAY_MS
             delay(RETRY_MS)
@@ -120,7 +124,11 @@
     ) {
         val fresh = catalog.apply(collection, changes)
         catalog.completeUpTo(collection, completeTo)
-        if (tellPeers) tell(collection, fresh) else if (fresh.isNotEmpty()) onChanges(collection, fresh)
+        if (tellPeers) {
+            tell(collection, fresh)
+        } else if (fresh.isNotEmpty()) {
+            onChanges(collection, fresh)
+        }
     }
 
     private fun tell(
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
@@ -1,8 +1,8 @@
 /*
  * Contends for the coordinator's lease and runs the coordinator's work while this VM holds it.
  *
- * The work on batches goes on when the lease lapses because the store is away: what is listed is fixed by the store, so two
- * coordinators only cost work done twice. Orders and duties need the lease at the moment that they are sent.
+ * The work on batches goes on when the lease lapses because the store is away: what is listed is fixed by the store, so
+ * two coordinators only cost work done twice. Orders and duties need the lease at the moment that they are sent.
  */
 package io.guavashore.edge.coordinator
 
@@ -76,7 +76,12 @@
     /** VM that does the coordinator's work as far as is known, if it is alive. */
     fun current(): VmId? {
         if (isActive) return card.vm
-        val holder = newest?.record?.takeUnless { it.released }?.holder?.vm ?: return null
+        val holder =
+            newest
+                ?.record
+                ?.takeUnless { it.released }
+                ?.holder
+                ?.vm ?: return null
         return holder.takeIf { vm -> alivePeers().any { it.card.vm == vm } }
     }
 
@@ -157,8 +162,8 @@
 
     private companion object {
         /**
-         * A holder acts for 1.7 s after it sent its last renewal; a challenger waits 2.3 s after it saw it. Together with
-         * the time in which peers find a VM dead this keeps a change of coordinator under 3 s.
+         * A holder acts for 1.7 s after it sent its last renewal; a challenger waits 2.3 s after it saw it. Together
+         * with the time in which peers find a VM dead this keeps a change of coordinator under 3 s.
          */
         val TERMS = LeaseTerms(termMs = 2_000, marginMs = 300, renewEveryMs = 650)
         const val STEP_EVERY_MS = 120L
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorLease.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorLease.kt
@@ -61,7 +61,8 @@
         }
     val outcome = call(message, timeoutMs)
     if (outcome.isErr) return Err(outcome.error.toError(path))
-    val entry = (outcome.value as StoreAnswer.Entry).entry ?: return Err(StoreError.Unavailable("no object in the answer"))
+    val entry =
+        (outcome.value as StoreAnswer.Entry).entry ?: return Err(StoreError.Unavailable("no object in the answer"))
     return Ok(ObjectVersion(entry.revision))
 }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Term.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Term.kt
@@ -100,9 +100,20 @@
             }
             asOf =
                 when (val answer = outcome.value) {
-                    is StoreAnswer.Listing -> answer.also { it.entries.forEach { entry -> onEntry(entry, false) } }.asOfRevision
+                    is StoreAnswer.Listing ->
+                        answer
+                            .also {
+                                it.entries.forEach { entry ->
+                                    onEntry(entry, false)
+                                }
+                            }.asOfRevision
                     is StoreAnswer.Changes ->
-                        answer.also { it.changes.forEach { change -> onEntry(change.entry, change.deleted) } }.asOfRevision
+                        answer
+                            .also {
+                                it.changes.forEach { change ->
+                                    onEntry(change.entry, change.deleted)
+                                }
+                            }.asOfRevision
                     is StoreAnswer.Entry -> null
                 }
         }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/UsageBook.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/UsageBook.kt
@@ -53,7 +53,9 @@
     fun total(window: Long): Map<OrganisationId, Long> {
         val sums = HashMap<OrganisationId, Long>()
         counts.values.forEach { copy ->
-            copy.filterKeys { it.first == window }.forEach { (key, requests) -> sums.merge(key.second, requests, Long::plus) }
+            copy.filterKeys { it.first == window }.forEach { (key, requests) ->
+                sums.merge(key.second, requests, Long::plus)
+            }
         }
         return sums
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/UsageDuty.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/UsageDuty.kt
@@ -53,7 +53,9 @@
         val holder = right() ?: return false
         val report = UsageReport(window, sealed.requests.mapKeys { OrganisationId(it.key) })
         val outcome = port.reportUsage(report, holder)
-        log.info { "usage reported: window=$window requests=${sealed.requests} outcome=$outcome fence=${holder.fencingNumber}" }
+        log.info {
+            "usage reported: window=$window requests=${sealed.requests} outcome=$outcome fence=${holder.fencingNumber}"
+        }
         if (outcome != DutyOutcome.AGAIN) book.forgetBefore(window - WINDOWS_REPEATED)
         return outcome != DutyOutcome.AGAIN
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -76,7 +76,8 @@
             val leftMs = call.deadlineMs - clock()
             val next = afterAttempt(call.route, call.attempts, end, leftMs)
             log.info {
-                "attempt failed: request=${call.facts.requestId} target=${target.id} end=$end next=$next left_ms=$leftMs"
+                "attempt failed: request=${call.facts.requestId} target=${target.id} end=$end next=$next " +
+                    "left_ms=$leftMs"
             }
             when (next) {
                 NextStep.TRY_ANOTHER -> Unit
@@ -87,7 +88,10 @@
     }
 
     private fun choose(call: ForwardedCall): TargetEntry? {
-        val candidates = call.route.backends.filter { it.weight > 0 }.flatMap { directory.usable(it.service) }
+        val candidates =
+            call.route.backends
+                .filter { it.weight > 0 }
+                .flatMap { directory.usable(it.service) }
         val fresh = candidates.filter { it.id !in call.tried }
         val chosenService = loads.serviceFor(call.route, fresh) ?: return null
         val ofService = fresh.filter { it.service == chosenService }
@@ -106,7 +110,9 @@
             try {
                 connections.take(target, fresh = atMostOnce)
             } catch (e: ExchangeFailure.NotConnected) {
-                log.info { "target not reached: request=${call.facts.requestId} target=${target.id} cause=${e.message}" }
+                log.info {
+                    "target not reached: request=${call.facts.requestId} target=${target.id} cause=${e.message}"
+                }
                 directory.failed(target.id)
                 return AttemptEnd.NOT_SENT
             }
@@ -181,7 +187,13 @@
         if (!facts.isGenuine) return AttemptEnd.UNCERTAIN
         directory.worked(target.id)
         call.exchange.respond(HttpAnswer(head.status, targets.answerHeaders(head), body))
-        metrics.count("requests", "outcome" to "answered", "route_kind" to call.route.kind.name.lowercase())
+        metrics.count(
+            "requests",
+            "outcome" to "answered",
+            "route_kind" to
+                call.route.kind.name
+                    .lowercase(),
+        )
         return null
     }
 
@@ -217,8 +229,17 @@
         message: String,
         retryAfterMs: Long?,
     ) {
-        log.info { "request refused: request=${call.facts.requestId} status=$status reason=$message sent=${call.attempts.sent}" }
-        metrics.count("requests", "outcome" to "refused", "route_kind" to call.route.kind.name.lowercase())
+        log.info {
+            "request refused: request=${call.facts.requestId} status=$status reason=$message " +
+                "sent=${call.attempts.sent}"
+        }
+        metrics.count(
+            "requests",
+            "outcome" to "refused",
+            "route_kind" to
+                call.route.kind.name
+                    .lowercase(),
+        )
         call.exchange.respond(callers.refusal(status, message, retryAfterMs, call.facts))
     }
 
@@ -228,8 +249,16 @@
         leftMs: Long,
     ) {
         val status = if (leftMs <= LATE_MS) GATEWAY_TIMEOUT else BAD_GATEWAY
-        log.warn { "request failed: request=${call.facts.requestId} status=$status tried=${call.tried} left_ms=$leftMs" }
-        metrics.count("requests", "outcome" to "failed", "route_kind" to call.route.kind.name.lowercase())
+        log.warn {
+            "request failed: request=${call.facts.requestId} status=$status tried=${call.tried} left_ms=$leftMs"
+        }
+        metrics.count(
+            "requests",
+            "outcome" to "failed",
+            "route_kind" to
+                call.route.kind.name
+                    .lowercase(),
+        )
         call.exchange.respond(callers.refusal(status, "the outcome of the request is unknown", null, call.facts))
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PoisonList.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PoisonList.kt
@@ -2,7 +2,8 @@
  * Requests that may have crashed targets.
  *
  * Load pattern: a request that crashes each target that runs it comes again and again, also at other VMs, and takes a
- * service down target by target. A request counts as poison once its runs on two targets have ended with their connections.
+ * service down target by target. A request counts as poison once its runs on two targets have ended with their
+ * connections.
  */
 package io.guavashore.edge.forward
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/Front.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/Front.kt
@@ -3,6 +3,7 @@
  */
 package io.guavashore.edge.front
 
+import com.github.michaelbull.result.map
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.OrganisationId
@@ -60,20 +61,20 @@
             return refuse(exchange, facts, UNAUTHORIZED, "the key is missing or not known (declaration ${map.version})")
         }
         val owner = organisation ?: NO_ORGANISATION
-        when (call) {
-            is BatchCall.ReadResults -> {
-                val page = desk.read(call.batch, owner, call.after, minOf(call.waitMs, LONGEST_WAIT_MS))
-                if (page.isOk) exchange.respond(protocol.resultPage(page.value)) else reject(exchange, facts, page.error)
+        val outcome =
+            when (call) {
+                is BatchCall.ReadResults ->
+                    desk
+                        .read(
+                            call.batch,
+                            owner,
+                            call.after,
+                            minOf(call.waitMs, LONGEST_WAIT_MS),
+                        ).map(protocol.resultPage)
+                is BatchCall.ReadBody -> desk.body(call.batch, owner, call.item).map { HttpAnswer(OK, body = it) }
+                is BatchCall.End -> desk.end(call.batch, owner).map { HttpAnswer(OK) }
             }
-            is BatchCall.ReadBody -> {
-                val body = desk.body(call.batch, owner, call.item)
-                if (body.isOk) exchange.respond(HttpAnswer(OK, body = body.value)) else reject(exchange, facts, body.error)
-            }
-            is BatchCall.End -> {
-                val ended = desk.end(call.batch, owner)
-                if (ended.isOk) exchange.respond(HttpAnswer(OK)) else reject(exchange, facts, ended.error)
-            }
-        }
+        if (outcome.isOk) exchange.respond(outcome.value) else reject(exchange, facts, outcome.error)
     }
 
     private suspend fun submit(
@@ -99,7 +100,7 @@
         refusal: BatchRefusal,
     ) = when (refusal) {
         BatchRefusal.NOT_ACCEPTED -> refuse(exchange, facts, UNAVAILABLE, "the batch was not stored", STORE_RETRY_MS)
-        BatchRefusal.UNCERTAIN -> refuse(exchange, facts, GATEWAY_TIMEOUT, "it is not known whether the batch was stored")
+        BatchRefusal.UNCERTAIN -> refuse(exchange, facts, GATEWAY_TIMEOUT, "whether the batch was stored is not known")
         BatchRefusal.CONTENT_DIFFERS -> refuse(exchange, facts, CONFLICT, "a batch of this id has other content")
         BatchRefusal.UNKNOWN -> refuse(exchange, facts, NOT_FOUND, "no such batch or item")
         BatchRefusal.CANNOT_TELL -> refuse(exchange, facts, UNAVAILABLE, "the batch can't be looked up", STORE_RETRY_MS)
@@ -112,7 +113,9 @@
         message: String,
         retryAfterMs: Long? = null,
     ) {
-        log.info { "request refused: request=${facts.requestId} status=$status reason=$message uri=${exchange.request.uri}" }
+        log.info {
+            "request refused: request=${facts.requestId} status=$status reason=$message uri=${exchange.request.uri}"
+        }
         metrics.count("refusals", "status" to status.toString())
         exchange.respond(protocol.refusal(status, message, retryAfterMs, facts))
     }
@@ -122,7 +125,8 @@
         route: Route,
     ): Long = clock() + minOf(facts.deadlineInMs ?: Long.MAX_VALUE / 2, route.timeoutMs)
 
-    private fun ServiceMap.organisationOf(facts: CallFacts): OrganisationId? = facts.apiKey?.let { organisationByKey[it] }
+    private fun ServiceMap.organisationOf(facts: CallFacts): OrganisationId? =
+        facts.apiKey?.let { organisationByKey[it] }
 
     private companion object {
         const val OK = 200
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
@@ -76,7 +76,11 @@
     }
 
     /** Pulses of the peers that are alive now. */
-    fun alive(): List<Pulse> = links.values.filter { it.isAlive() }.mapNotNull { it.pulse }.distinctBy { it.card.vm }
+    fun alive(): List<Pulse> =
+        links.values
+            .filter { it.isAlive() }
+            .mapNotNull { it.pulse }
+            .distinctBy { it.card.vm }
 
     fun isAlive(vm: VmId): Boolean = alive().any { it.card.vm == vm }
 
@@ -104,21 +108,22 @@
     /** Sends a pulse to all peers at once, without waiting for the next ping. */
     fun pingAll() = links.values.forEach { it.ping(events.pulse()) }
 
-    private fun linkTo(vm: VmId): PeerLink? =
-        links.values.firstOrNull { it.isAlive() && it.pulse?.card?.vm == vm }
+    private fun linkTo(vm: VmId): PeerLink? = links.values.firstOrNull { it.isAlive() && it.pulse?.card?.vm == vm }
 
     private suspend fun keep(link: PeerLink) {
         while (links[link.address] === link) {
-            if (link.connect()) {
-                while (link.isOpen) {
-                    if (!link.ping(events.pulse())) link.close()
-                    delay(times.pingEveryMs)
-                }
-            }
+            if (link.connect()) converse(link)
             delay(times.redialEveryMs)
         }
     }
 
+    private suspend fun converse(link: PeerLink) {
+        while (link.isOpen) {
+            if (!link.ping(events.pulse())) link.close()
+            delay(times.pingEveryMs)
+        }
+    }
+
     private fun onFrame(
         connection: FrameConnection,
         frame: ByteArray,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/SharedStore.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/SharedStore.kt
@@ -1,8 +1,8 @@
 /*
  * Calls to the store, with the help of peers.
  *
- * Load pattern: the store turns some VMs away for seconds, by refusals, resets or silence, while it serves the others. A
- * call that fails here is handed to a peer that the store serves. After failures, calls go to a peer first until a
+ * Load pattern: the store turns some VMs away for seconds, by refusals, resets or silence, while it serves the others.
+ * A call that fails here is handed to a peer that the store serves. After failures, calls go to a peer first until a
  * direct one has succeeded again.
  */
 package io.guavashore.edge.peers
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/Beliefs.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/Beliefs.kt
@@ -52,7 +52,9 @@
         if (change.deleted || change.entry.name != SharedCollections.DECLARATION_NAME) return
         val decoded = ports.decodeDeclaration(change.entry)
         if (decoded.isErr) {
-            return log.error { "declaration unusable, the last one stays: revision=${change.entry.revision} cause=${decoded.error}" }
+            return log.error {
+                "declaration unusable, the last one stays: revision=${change.entry.revision} cause=${decoded.error}"
+            }
         }
         val fresh = decoded.value
         val before = declaration
@@ -61,8 +63,8 @@
         }
         declaration = fresh
         log.info {
-            "declaration adopted: version=${fresh.version} revision=${change.entry.revision} routes=${fresh.routes.size} " +
-                "keys=${fresh.organisationByKey.size}"
+            "declaration adopted: version=${fresh.version} revision=${change.entry.revision} " +
+                "routes=${fresh.routes.size} keys=${fresh.organisationByKey.size}"
         }
     }
 
@@ -74,6 +76,8 @@
         }
         if (decoded.version <= (named[decoded.model] ?: 0)) return
         named[decoded.model] = decoded.version
-        log.info { "version named: model=${decoded.model} version=${decoded.version} revision=${change.entry.revision}" }
+        log.info {
+            "version named: model=${decoded.model} version=${decoded.version} revision=${change.entry.revision}"
+        }
     }
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorWork.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorWork.kt
@@ -8,6 +8,7 @@
 import io.guavashore.edge.batches.BatchRunner
 import io.guavashore.edge.batches.BatchStore
 import io.guavashore.edge.batches.EnginePace
+import io.guavashore.edge.batches.EngineUses
 import io.guavashore.edge.batches.ItemCall
 import io.guavashore.edge.coordinator.Term
 import io.guavashore.edge.declared.ModelId
@@ -17,8 +18,10 @@
 import io.guavashore.edge.duties.UsageDuty
 import io.guavashore.edge.peers.PeerCall
 import io.guavashore.edge.peers.PeerReply
+import io.guavashore.edge.targets.EngineControl
 import io.guavashore.edge.targets.TargetConnections
 import io.guavashore.edge.targets.TargetDirectory
+import io.guavashore.edge.weights.VersionNeeds
 import io.guavashore.edge.weights.WeightDuty
 import io.guavashore.platform.CallStore
 import kotlinx.coroutines.CoroutineScope
@@ -84,8 +87,7 @@
         directory = parts.directory,
         pace = parts.pace,
         declared = { parts.beliefs.declaration },
-        loading = keeper::isLoading,
-        modelOf = keeper::modelOf,
+        uses = EngineUses(keeper::isLoading, keeper::serves),
         clock = clock,
         wallClock = trueTimeMs,
     )
@@ -94,11 +96,9 @@
         WeightDuty(
             scope = scope,
             declared = { parts.beliefs.declaration },
-            named = { parts.beliefs.namedVersions },
-            leastWanted = ::leastWanted,
+            needs = VersionNeeds({ parts.beliefs.namedVersions }, ::leastWanted),
             directory = parts.directory,
-            connections = parts.connections,
-            protocol = parts.ports.targets,
+            control = EngineControl(parts.connections, parts.ports.targets),
             runningOn = { runner?.runningOn(it) ?: 0 },
             right = right,
             clock = clock,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -77,7 +77,17 @@
     private val batchStore = BatchStore(store::call, clock)
     private val work =
         CoordinatorWork(
-            CoordinatorParts(ports, settings, batchStore, store::call, directory, connections, beliefs, usage, EnginePace()),
+            CoordinatorParts(
+                ports,
+                settings,
+                batchStore,
+                store::call,
+                directory,
+                connections,
+                beliefs,
+                usage,
+                EnginePace(),
+            ),
             clock,
             trueTime::nowMs,
         ) { coordinator.right() }
@@ -113,7 +123,9 @@
 
     /** Opens all sockets and starts all work. */
     suspend fun start() {
-        log.info { "edge starts: vm=${card.vm} incarnation=${card.incarnation} zone=${card.zone} callers=${settings.callers}" }
+        log.info {
+            "edge starts: vm=${card.vm} incarnation=${card.incarnation} zone=${card.zone} callers=${settings.callers}"
+        }
         mesh.listen(settings.peers)
         settings.knownPeers.forEach { mesh.meet(it.toString()) }
         server.listen(settings.callers)
@@ -163,7 +175,10 @@
     override suspend fun onCall(call: PeerCall): PeerReply =
         if (call is PeerCall.Store) {
             val outcome = store.callDirect(call.call, call.timeoutMs)
-            PeerReply.Store(answer = if (outcome.isOk) outcome.value else null, fault = if (outcome.isErr) outcome.error else null)
+            PeerReply.Store(
+                answer = if (outcome.isOk) outcome.value else null,
+                fault = if (outcome.isErr) outcome.error else null,
+            )
         } else {
             work.answer(call)
         }
@@ -201,7 +216,11 @@
     private suspend fun register() {
         val content = Json.encodeToString(card)
         while (true) {
-            val created = store.call(StoreCall.Create(SharedCollections.VMS, card.vm.value, content), REGISTER_TIMEOUT_MS)
+            val created =
+                store.call(
+                    StoreCall.Create(SharedCollections.VMS, card.vm.value, content),
+                    REGISTER_TIMEOUT_MS,
+                )
             if (created.isOk) return
             if (created.error is StoreFault.Conflict) {
                 val replace = StoreCall.Replace(SharedCollections.VMS, card.vm.value, content)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EventReader.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EventReader.kt
@@ -53,7 +53,12 @@
     }
 
     private fun parse(raw: ByteArray): StreamEvent {
-        val lines = raw.decodeToString().split('\n').map { it.removeSuffix("\r") }.filter { it.isNotEmpty() }
+        val lines =
+            raw
+                .decodeToString()
+                .split('\n')
+                .map { it.removeSuffix("\r") }
+                .filter { it.isNotEmpty() }
         val data = lines.mapNotNull { field(it, "data") }
         return StreamEvent(
             raw = raw,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
@@ -44,8 +44,11 @@
         val known = entries[id]
         if (known?.bornAtMs != entry.bornAtMs) shownVersions.remove(id)
         if (known == null || known.isLeaving != entry.isLeaving) {
-            log.info { "target listed: target=$id service=${entry.service} at=${entry.endpoint} zone=${entry.zone} " +
-                "leaving=${entry.isLeaving} spot=${entry.isSpot} versions=${entry.versions} revision=${change.entry.revision}" }
+            log.info {
+                "target listed: target=$id service=${entry.service} at=${entry.endpoint} zone=${entry.zone} " +
+                    "leaving=${entry.isLeaving} spot=${entry.isSpot} versions=${entry.versions} " +
+                    "revision=${change.entry.revision}"
+            }
         }
         entries[id] = entry
         fadingUntilMs.remove(id)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightDuty.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightDuty.kt
@@ -1,8 +1,8 @@
 /*
  * Brings engines to the versions that trainers name, as [planLoads] decides.
  *
- * An order that had no answer may be carried out seconds later. Each order therefore names how many orders the engine must
- * have taken; one that is late meets another number and is refused.
+ * An order that had no answer may be carried out seconds later. Each order therefore names how many orders the engine
+ * must have taken; one that is late meets another number and is refused.
  */
 package io.guavashore.edge.weights
 
@@ -15,14 +15,11 @@
 import io.guavashore.edge.declared.ServiceMap
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.duties.DutyRight
+import io.guavashore.edge.targets.EngineControl
 import io.guavashore.edge.targets.EngineReport
-import io.guavashore.edge.targets.TargetConnections
 import io.guavashore.edge.targets.TargetDirectory
-import io.guavashore.edge.targets.TargetProtocol
 import io.guavashore.edge.targets.WeightOrder
 import io.guavashore.net.ExchangeFailure
-import io.guavashore.net.HttpAnswer
-import io.guavashore.net.HttpMessage
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -31,15 +28,19 @@
 
 private val log = KotlinLogging.logger {}
 
+/** Versions that trainers have named, and the oldest that open batches of a model accept. */
+class VersionNeeds(
+    val named: () -> Map<ModelId, Long>,
+    val leastWanted: (ModelId) -> Long,
+)
+
 /** Weights keeper of the coordinator. */
 class WeightDuty(
     private val scope: CoroutineScope,
     private val declared: () -> ServiceMap?,
-    private val named: () -> Map<ModelId, Long>,
-    private val leastWanted: (ModelId) -> Long,
+    private val needs: VersionNeeds,
     private val directory: TargetDirectory,
-    private val connections: TargetConnections,
-    private val protocol: TargetProtocol,
+    private val control: EngineControl,
     private val runningOn: (TargetId) -> Int,
     private val right: () -> DutyRight?,
     private val clock: MonotonicClock,
@@ -55,8 +56,11 @@
     /** True while [engine] takes no requests because it loads. */
     fun isLoading(engine: TargetId): Boolean = engine in loadingUntilMs
 
-    /** Model whose requests [engine] should take; null while none is dealt to it. */
-    fun modelOf(engine: TargetId): ModelId? = dealt[engine]
+    /** True if [engine] takes requests of [model]; an engine that is not dealt out yet takes any. */
+    fun serves(
+        engine: TargetId,
+        model: ModelId,
+    ): Boolean = dealt[engine] == null || dealt[engine] == model
 
     /** Works until the scope is cancelled. */
     suspend fun run() {
@@ -88,8 +92,8 @@
         entries.forEach(::noticeRestart)
         val versions =
             models.map { model ->
-                val newest = named()[model] ?: FIRST_VERSION
-                ModelVersions(model, newest, required = maxOf(newest - ALLOWED_LAG, leastWanted(model)))
+                val newest = needs.named()[model] ?: FIRST_VERSION
+                ModelVersions(model, newest, required = maxOf(newest - ALLOWED_LAG, needs.leastWanted(model)))
             }
         val views = entries.map { view(it) }
         val deal = dealModels(views, versions, dealt)
@@ -151,17 +155,18 @@
                 fencingNumber = holder.fencingNumber,
                 expectedOrders = known.ordersTaken,
             )
-        val answer = exchange(entry, protocol.order(entry.id, order), ORDER_TIMEOUT_MS)
+        val status = control.order(entry, order)
         log.info {
-            "engine ordered: engine=${entry.id} model=${order.model} version=${order.version} status=${answer?.status} " +
-                "expected_orders=${order.expectedOrders} fence=${order.fencingNumber} running=${runningOn(entry.id)}"
+            "engine ordered: engine=${entry.id} model=${order.model} version=${order.version} " +
+                "status=$status expected_orders=${order.expectedOrders} fence=${order.fencingNumber} " +
+                "running=${runningOn(entry.id)}"
         }
-        when (answer?.status) {
+        when (status) {
             ACCEPTED -> awaitLoaded(entry, decision)
             HOLDS -> directory.showedVersion(entry.id, decision.model, decision.version)
             else -> {
                 reports.remove(entry.id)
-                retryLater(entry.id, "status ${answer?.status}")
+                retryLater(entry.id, "status $status")
             }
         }
     }
@@ -176,7 +181,9 @@
         while (clock() < deadlineMs && directory[entry.id] != null) {
             val report = ask(entry)
             if (report != null && !report.isBusy) {
-                log.info { "engine reports: engine=${entry.id} versions=${report.versions} orders=${report.ordersTaken}" }
+                log.info {
+                    "engine reports: engine=${entry.id} versions=${report.versions} orders=${report.ordersTaken}"
+                }
                 val version = report.versions[decision.model] ?: 0
                 if (version < decision.version) retryLater(entry.id, "still at version $version")
                 return
@@ -187,8 +194,7 @@
     }
 
     private suspend fun ask(entry: TargetEntry): EngineReport? {
-        val answer = exchange(entry, protocol.reportRequest(entry.id), REPORT_TIMEOUT_MS) ?: return null
-        val report = protocol.report(answer.body) ?: return null
+        val report = control.report(entry) ?: return null
         report.versions.forEach { (model, version) -> directory.showedVersion(entry.id, model, version) }
         if (!report.isBusy) reports[entry.id] = report
         return report
@@ -202,27 +208,9 @@
         notBeforeMs[engine] = clock() + AGAIN_MS
     }
 
-    private suspend fun exchange(
-        entry: TargetEntry,
-        message: HttpMessage,
-        timeoutMs: Long,
-    ): HttpAnswer? {
-        val connection = connections.take(entry)
-        try {
-            connection.send(message)
-            return withTimeoutOrNull(timeoutMs) {
-                val head = connection.head()
-                HttpAnswer(head.status, head.headers, connection.wholeBody(MOST_REPORT_BYTES))
-            }
-        } finally {
-            if (connection.busy) connection.close() else connections.giveBack(entry.id, connection)
-        }
-    }
-
     private companion object {
         const val ACCEPTED = 202
         const val HOLDS = 200
-        const val MOST_REPORT_BYTES = 1_000_000
 
         /** Engines start at this version. */
         const val FIRST_VERSION = 1L
@@ -235,8 +223,6 @@
         const val ENGINES_PER_LOAD = 4
 
         const val STEP_EVERY_MS = 150L
-        const val ORDER_TIMEOUT_MS = 800L
-        const val REPORT_TIMEOUT_MS = 500L
 
         /** A load alone takes 0.9 s. */
         const val USUAL_LOAD_MS = 900L
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightPlan.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightPlan.kt
@@ -49,8 +49,8 @@
 )
 
 /**
- * Deals [engines] out to [models] in equal parts, keeping [current] as far as it is balanced. An engine that changes its
- * model is the one for which that costs least: it holds the newest version of the new model already, or else any.
+ * Deals [engines] out to [models] in equal parts, keeping [current] as far as it is balanced. An engine that changes
+ * its model is the one for which that costs least: it holds the newest version of the new model already, or else any.
  */
 fun dealModels(
     engines: List<EngineLoad>,
--- /dev/null
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchFixtures.kt
@@ -0,0 +1,78 @@
+/*
+ * Batches for tests.
+ */
+package io.guavashore.edge.batches
+
+import io.guavashore.api.GroupId
+import io.guavashore.api.OrganisationId
+import io.guavashore.api.ServiceId
+import io.guavashore.api.TargetId
+import io.guavashore.edge.declared.ModelId
+
+internal val MODEL = ModelId("m0")
+internal val ENGINES = ServiceId("engines")
+
+internal fun itemSpec(
+    id: String,
+    group: String = "g-$id",
+    expectedTokens: Int = 1_000,
+) = ItemSpec(
+    id = ItemId(id),
+    path = "/rollouts/$id",
+    headers = emptyMap(),
+    bodyBase64 = "",
+    group = GroupId(group),
+    promptTokens = 100,
+    mostOutputTokens = 12_000,
+    expectedOutputTokens = expectedTokens,
+)
+
+internal fun batch(
+    id: String,
+    items: List<ItemSpec>,
+    leastVersion: Long = 1,
+    dueAtMs: Long = 7_500,
+    singleVersion: Boolean = false,
+) = BatchState(
+    BatchId(id),
+    BatchRecord(
+        organisation = OrganisationId("weavers"),
+        host = "host",
+        digest = "d",
+        model = MODEL,
+        step = 1,
+        leastVersion = leastVersion,
+        wantedGroups = 0,
+        singleVersion = singleVersion,
+        maxAttempts = 3,
+        dueAtMs = dueAtMs,
+        giveUpAtMs = 40_000,
+        keepUntilMs = 120_000,
+        itemIds = items.map { it.id },
+        items = items,
+    ),
+    revision = 1,
+)
+
+internal fun engine(
+    id: String,
+    running: Int = 0,
+    slots: Int = 12,
+    msPerEvent: Double? = 40.0,
+    version: Long = 1,
+    reservedTokens: Int = 0,
+    memoryTokens: Int = 84_000,
+    isUsable: Boolean = true,
+) = EngineView(
+    id = TargetId(id),
+    service = ENGINES,
+    slots = slots,
+    memoryTokens = memoryTokens,
+    versions = mapOf(MODEL to version),
+    running = running,
+    reservedTokens = reservedTokens,
+    msPerEvent = msPerEvent,
+    isUsable = isUsable,
+)
+
+internal fun demand(item: ItemState) = ItemDemand(item, ENGINES, MODEL)
--- a/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseRecord.kt
+++ b/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseRecord.kt
@@ -33,8 +33,8 @@
 
 /**
  * Lease object. [renewal] is written anew on each update, so that a writer who lost an answer recognises its own
- * write. [intent] is the one order that may be under way. A holder that stops sets [released]; a successor need not wait
- * then.
+ * write. [intent] is the one order that may be under way. A holder that stops sets [released]; a successor need not
+ * wait then.
  */
 @Serializable
 data class LeaseRecord(
--- a/guavashore-leases/src/test/kotlin/io/guavashore/leases/LeaseMachineTest.kt
+++ b/guavashore-leases/src/test/kotlin/io/guavashore/leases/LeaseMachineTest.kt
@@ -198,4 +198,41 @@
             }
         machine.onRead(version, record, localMs)
     }
+
+    @Nested
+    inner class `a holder that stops` {
+        @Test
+        fun `is succeeded at once, with a higher fencing number`() {
+            val store = OneObject()
+            val first = LeaseMachine(holder("a")).apply { drive(store, 0) }
+            val second = LeaseMachine(holder("b")).apply { drive(store, 100) }
+            store.write(assertIs<LeaseAction.Write>(first.release(200)))
+            assertNull(first.heldAt(200))
+            (2_000L..2_500L step 100).forEach { second.drive(store, it) }
+            assertEquals(2, second.heldAt(2_500)?.fencingNumber?.value)
+        }
+    }
+
+    @Nested
+    inner class `a holder that may have stood still` {
+        private val store = OneObject()
+        private val first = LeaseMachine(holder("a")).apply { drive(store, 0) }
+
+        @Test
+        fun `does not act until the store has confirmed it, and keeps its number`() {
+            first.doubt()
+            assertNull(first.heldAt(10))
+            (2_000L..2_400L step 100).forEach { first.drive(store, it) }
+            assertEquals(1, first.heldAt(2_400)?.fencingNumber?.value)
+        }
+
+        @Test
+        fun `finds out that another one has taken over`() {
+            val second = LeaseMachine(holder("b"))
+            (100L..20_000L step 100).forEach { second.drive(store, it) }
+            first.doubt()
+            (20_100L..22_000L step 100).forEach { first.drive(store, it) }
+            assertNull(first.heldAt(22_000))
+        }
+    }
 }
--- a/guavashore-metrics/src/main/kotlin/io/guavashore/metrics/Logs.kt
+++ b/guavashore-metrics/src/main/kotlin/io/guavashore/metrics/Logs.kt
@@ -35,8 +35,8 @@
 }
 
 /**
- * Sends logs to the standard output, as JSON lines. A line is handed to another thread through a bounded queue; when the
- * queue is full, lines are dropped, so that no request waits for its log.
+ * Sends logs to the standard output, as JSON lines. A line is handed to another thread through a bounded queue; when
+ * the queue is full, lines are dropped, so that no request waits for its log.
  */
 fun configureProcessLogs() {
     val context = LoggerFactory.getILoggerFactory() as LoggerContext
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -91,14 +91,14 @@
 
     /** Waits for the head of the answer; interim answers are skipped. */
     suspend fun head(): AnswerHead {
-        while (true) {
-            val next = receive()
-            if (next !is HttpResponse) continue
-            if (next.status().code() < FIRST_FINAL_STATUS) continue
-            keepAlive = HttpUtil.isKeepAlive(next)
-            keepAliveS = keepAliveSeconds(next.headers()["Keep-Alive"])
-            return AnswerHead(next.status().code(), Headers(next.headers().map { it.key to it.value }))
+        var next = receive()
+        while (next !is HttpResponse || next.status().code() < FIRST_FINAL_STATUS) {
+            ReferenceCountUtil.release(next)
+            next = receive()
         }
+        keepAlive = HttpUtil.isKeepAlive(next)
+        keepAliveS = keepAliveSeconds(next.headers()["Keep-Alive"])
+        return AnswerHead(next.status().code(), Headers(next.headers().map { it.key to it.value }))
     }
 
     /** Next bytes of the body, or null at its complete end. */
@@ -140,8 +140,8 @@
         ctx: ChannelHandlerContext,
         msg: Any,
     ) {
-        val waiting = answers
-        if (msg !is HttpObject || waiting == null || brokenBy != null || endArrived) {
+        val waiting = answers.takeUnless { endArrived || brokenBy != null }
+        if (msg !is HttpObject || waiting == null) {
             ReferenceCountUtil.release(msg)
             return breakOff("bytes outside an answer")
         }
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/EventLoop.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/ProcessLoop.kt
@@ -25,7 +25,13 @@
     /** Runs coroutines on the loop's thread. */
     val scope =
         CoroutineScope(
-            SupervisorJob() + netty.asCoroutineDispatcher() + CoroutineExceptionHandler { _, cause -> onFailure(cause) },
+            SupervisorJob() + netty.asCoroutineDispatcher() +
+                CoroutineExceptionHandler {
+                    _,
+                    cause,
+                    ->
+                    onFailure(cause)
+                },
         )
 
     override fun close() {
