Engines are never ordered away; whole texts come back whole; loads by halves; texts copied to the next in line

Ruled out: engine memory (no preemption), refusals (none). Change: scale only once engines are known and never below what runs; whole texts are listed without a run; half of the engines load each version and the number of loads at once is learned; a holder whose VM runs a later process has ended; unfinished texts go to the next in line every 300 ms. Runner split into batches and dispatch.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
@@ -24,6 +24,12 @@
     var settledAtMs = 0L
         internal set
 
+    /** True while the item has no result. */
+    val isOpen: Boolean get() = phase == ItemPhase.WAITING || phase == ItemPhase.RUNNING
+
+    /** True if the text is the item's whole output. */
+    val isWhole: Boolean get() = result?.outcome == ItemOutcome.COMPLETED && progress.size > 0
+
     /** Runs that the engine ended with a failure, and runs that said that the item can never be done. */
     var failures = 0
         internal set
@@ -89,8 +95,10 @@
     }
 
     /** Items of [group] that have no result yet. */
-    fun openInGroup(group: GroupId): Int =
-        byGroup.getValue(group).count { it.phase == ItemPhase.WAITING || it.phase == ItemPhase.RUNNING }
+    fun openInGroup(group: GroupId): Int = byGroup.getValue(group).count { it.isOpen }
+
+    /** Items that no engine has now and that need one. */
+    fun waiting(): List<ItemState> = items.filter { it.phase == ItemPhase.WAITING }
 
     fun settle(
         item: ItemState,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/EarlierTexts.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/EarlierTexts.kt
@@ -1,14 +1,44 @@
 /*
- * Texts of items whose groups were not complete when their batch ended. A trainer may submit such a group again under
- * the same ids; its items go on from here if the versions of the weights fit.
+ * Texts of items as other runs have left them: of groups that were not complete when their batch ended, which a trainer
+ * may submit again under the same ids, and of items that another coordinator has running. Losing them costs time only.
  */
 package io.guavashore.edge.batches
 
-internal class EarlierTexts {
-    private val texts = LinkedHashMap<ItemId, List<TextEvent>>()
+import kotlinx.serialization.Serializable
+
+/**
+ * Part of an item's text on its way to another VM.
+ *
+ * @property from number of events that came before [events]
+ * @property isWhole true if the item's run has ended as complete with the last of [events]
+ */
+@Serializable
+data class TextPart(
+    val item: ItemId,
+    val from: Int,
+    val events: List<TextEvent>,
+    val isWhole: Boolean,
+)
+
+/** Texts kept on one VM. Not thread-safe. */
+class EarlierTexts {
+    private class Text(
+        val events: MutableList<TextEvent>,
+        var isWhole: Boolean,
+    )
+
+    private val texts = LinkedHashMap<ItemId, Text>()
     private var size = 0
 
-    fun of(item: ItemId): List<TextEvent>? = texts[item]
+    /** Lets the items of [batch] go on from what is kept of them; those that were whole need no run. */
+    fun resume(
+        batch: BatchState,
+        nowMs: Long,
+    ) = batch.items.filter { it.phase == ItemPhase.WAITING }.forEach { item ->
+        val text = texts[item.spec.id] ?: return@forEach
+        val adopted = item.progress.adopt(text.events)
+        if (adopted && text.isWhole) batch.settle(item, ItemOutcome.COMPLETED, nowMs)
+    }
 
     /** Keeps what an ended batch leaves behind. */
     fun keep(batch: BatchState) {
@@ -16,24 +46,29 @@
         val whole = groups.filterValues { items -> items.all { it.phase == ItemPhase.LISTED } }
         batch.items
             .filter { it.group !in whole && it.progress.size > 0 }
-            .forEach { put(it.spec.id, it.progress.events().toList()) }
-        while (size > MOST_EVENTS) size -= texts.remove(texts.keys.first())?.size ?: 0
+            .forEach { add(TextPart(it.spec.id, from = 0, it.progress.events(), it.isWhole)) }
     }
 
-    /** Forgets items that a later batch has listed. */
-    fun drop(batch: BatchState) {
-        batch.items.forEach { item -> size -= texts.remove(item.spec.id)?.size ?: 0 }
+    /** Adds a part; one that does not follow what is kept is of no use and ignored. */
+    fun add(part: TextPart) {
+        if (part.from == 0) forget(part.item)
+        val text = texts.getOrPut(part.item) { Text(ArrayList(), isWhole = false) }
+        if (text.events.size != part.from) return
+        text.events += part.events
+        text.isWhole = part.isWhole
+        size += part.events.size
+        while (size > MOST_EVENTS) forget(texts.keys.first())
     }
 
-    private fun put(
-        id: ItemId,
-        events: List<TextEvent>,
-    ) {
-        size += events.size - (texts.put(id, events)?.size ?: 0)
+    /** Forgets items that [batch] has listed. */
+    fun drop(batch: BatchState) = batch.items.filter { it.phase == ItemPhase.LISTED }.forEach { forget(it.spec.id) }
+
+    private fun forget(item: ItemId) {
+        size -= texts.remove(item)?.events?.size ?: 0
     }
 
     private companion object {
-        /** About 4 MB of text at the usual size of an event. */
-        const val MOST_EVENTS = 10_000
+        /** About 8 MB of text at the usual size of an event. */
+        const val MOST_EVENTS = 20_000
     }
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -5,7 +5,6 @@
 
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.OrganisationId
-import io.guavashore.edge.declared.ModelId
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.targets.AnswerFacts
 import io.guavashore.edge.targets.EventReader
@@ -113,28 +112,46 @@
         connection: HttpConnection,
         versionAtStart: Long?,
     ): RunOutcome {
-        var version = versionAtStart ?: return RunOutcome.Broken("no version of the weights", discard = false)
-        val model = item.batch.record.model
-        showVersion(engine, model, version)
-        val reader = EventReader()
-        var lastEventMs = 0L
+        val run = EventRun(item, engine, versionAtStart)
         while (true) {
             val silenceMs = pace.longestSilenceMs(engine.id)
-            val part = withTimeoutOrNull(silenceMs) { Part(connection.nextPart()) }
-            if (part == null) return RunOutcome.Broken("no event in $silenceMs ms")
-            val bytes = part.bytes ?: break
-            reader.take(bytes).forEach { event ->
-                version = event.lines.firstNotNullOfOrNull(protocol.eventVersion) ?: version
-                showVersion(engine, model, version)
-                val problem = add(item, event, version)
-                if (problem != null) return problem
-                val now = clock()
-                if (lastEventMs > 0) pace.record(engine.id, (now - lastEventMs).toDouble())
-                lastEventMs = now
+            val part =
+                withTimeoutOrNull(silenceMs) { Part(connection.nextPart()) }
+                    ?: return RunOutcome.Broken("no event in $silenceMs ms")
+            val problem = run.take(part.bytes ?: return run.end())
+            if (problem != null) return problem
+        }
+    }
+
+    /** Events of one run. A run that goes on after the last event has nothing to make, and names no version. */
+    private inner class EventRun(
+        private val item: ItemState,
+        private val engine: TargetEntry,
+        private var version: Long?,
+    ) {
+        private val reader = EventReader()
+        private var lastEventMs = 0L
+
+        /** Adds the events that [bytes] complete; returns why the run can't go on, or null. */
+        fun take(bytes: ByteArray): RunOutcome? = reader.take(bytes).firstNotNullOfOrNull(::take)
+
+        fun end(): RunOutcome =
+            when {
+                !reader.isBetweenEvents -> RunOutcome.Broken("stream ended within an event")
+                item.progress.size == 0 -> RunOutcome.Broken("stream without events")
+                else -> RunOutcome.Completed
             }
+
+        private fun take(event: StreamEvent): RunOutcome? {
+            version = event.lines.firstNotNullOfOrNull(protocol.eventVersion) ?: version
+            val made = version ?: return RunOutcome.Broken("no version of the weights")
+            item.batch.record.model
+                ?.let { directory.showedVersion(engine.id, it, made) }
+            val now = clock()
+            if (lastEventMs > 0) pace.record(engine.id, (now - lastEventMs).toDouble())
+            lastEventMs = now
+            return add(item, event, made)
         }
-        if (!reader.isBetweenEvents) return RunOutcome.Broken("stream ended within an event")
-        return RunOutcome.Completed
     }
 
     private fun add(
@@ -150,14 +167,6 @@
         }
     }
 
-    private fun showVersion(
-        engine: TargetEntry,
-        model: ModelId?,
-        version: Long,
-    ) {
-        if (model != null) directory.showedVersion(engine.id, model, version)
-    }
-
     /** Distinguishes the end of a body from a timeout. */
     private class Part(
         val bytes: ByteArray?,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemProgress.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemProgress.kt
@@ -3,7 +3,10 @@
  */
 package io.guavashore.edge.batches
 
+import kotlinx.serialization.Serializable
+
 /** Event of a run's stream, with the version of the weights that made it. */
+@Serializable
 data class TextEvent(
     val eventId: Long,
     val data: String,
@@ -48,12 +51,16 @@
     /** Forgets all: the item starts anew. */
     fun clear() = events.clear()
 
-    /** Takes over what was generated for the same item in an earlier batch, if its versions fit this one. */
-    fun adopt(earlier: List<TextEvent>) {
-        if (events.isNotEmpty()) return
+    /**
+     * Takes over what was generated for the same item before, as far as its versions fit; true if that is all of
+     * [earlier].
+     */
+    fun adopt(earlier: List<TextEvent>): Boolean {
+        if (events.isNotEmpty()) return false
         val fits = earlier.takeWhile { it.version >= leastVersion }
-        if (singleVersion && fits.distinctBy { it.version }.size > 1) return
+        if (singleVersion && fits.distinctBy { it.version }.size > 1) return false
         events += fits
+        return fits.size == earlier.size
     }
 
     fun events(): List<TextEvent> = events
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
@@ -45,7 +45,7 @@
     private val beginTerm: BeginTerm,
     private val announce: () -> Unit,
 ) {
-    private val machine = LeaseMachine(LeaseHolder(card.vm, card.incarnation), TERMS)
+    private val machine = LeaseMachine(LeaseHolder(card.vm, card.incarnation), TERMS, ::hasEnded)
     private val keeper = LeaseKeeper(COORDINATOR_LEASE, machine, store, clock)
     private var term: CoroutineScope? = null
     private var fencingNumber = 0L
@@ -147,6 +147,23 @@
         ending.cancel()
     }
 
+    /** VMs that would take over: the first in line, and the first outside this availability zone. */
+    fun standbys(): List<VmId> {
+        val ranked = rank(successors())
+        return listOfNotNull(ranked.firstOrNull(), ranked.firstOrNull { it.zone != card.zone }).map { it.vm }.distinct()
+    }
+
+    private fun successors() = alivePeers().filterNot { it.stopping }.map { it.card }
+
+    private fun rank(cards: List<VmCard>) =
+        cards.sortedWith(compareBy({ -it.capacity }, { stableHash("coordinator/${it.vm}") }))
+
+    /** A VM runs one process at a time, so a later one there means that the earlier one has ended. */
+    private fun hasEnded(holder: LeaseHolder): Boolean {
+        val now = if (holder.vm == card.vm) card else alivePeers().map { it.card }.firstOrNull { it.vm == holder.vm }
+        return now != null && now.incarnation > holder.incarnation
+    }
+
     /** One VM contends at a time, so that contenders do not refuse each other's writes; the next one after a while. */
     private fun mayContend(): Boolean {
         if (isStopping()) return false
@@ -154,8 +171,7 @@
             vacantSinceMs = clock()
             return false
         }
-        val others = alivePeers().filterNot { it.stopping }.map { it.card }
-        val ranked = (others + card).sortedWith(compareBy({ -it.capacity }, { stableHash("coordinator/${it.vm}") }))
+        val ranked = rank(successors() + card)
         val turns = 1 + (clock() - vacantSinceMs) / TURN_MS
         return ranked.take(turns.toInt()).contains(card)
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/ScaleDuty.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/ScaleDuty.kt
@@ -42,25 +42,39 @@
         map.services.values.forEach { service ->
             val spec = service.scaling ?: return@forEach
             val engine = service.engine ?: return@forEach
-            val most = mostOpen(service.id)
+            val most = mostOpen(service.id) ?: return@forEach
             planScale(service.id, spec, engine.slots, engine.models.size, most).forEach { order(it, spec.bootMs) }
         }
     }
 
-    private fun mostOpen(service: ServiceId): Int {
+    /** Highest number of open items lately; null until the service's engines are known here. */
+    private fun mostOpen(service: ServiceId): Int? {
+        if (!isKnown(service)) return null
         val recent = samples.getOrPut(service) { ArrayDeque() }
         recent.addLast(Sample(clock(), openItems(service)))
         while (clock() - recent.first().atMs > MEMORY_MS) recent.removeFirst()
         return recent.maxOf { it.items }
     }
 
-    /** Orders more engines at once, fewer not at all within [MEMORY_MS]: the demand of steps comes in waves. */
+    private fun isKnown(service: ServiceId): Boolean {
+        val present =
+            declared()
+                ?.services
+                ?.get(service)
+                ?.scaling
+                ?.priceByZone
+                ?.keys
+                .orEmpty()
+        return present.any { running(service, it) > 0 }
+    }
+
+    /** Orders more engines, never fewer: the demand of steps comes in waves, and an idle engine costs little. */
     private suspend fun order(
         wanted: TargetCount,
         bootMs: Long,
     ) {
         val subject = wanted.service to wanted.zone
-        val present = ordered[subject]?.count ?: running(wanted.service, wanted.zone)
+        val present = maxOf(ordered[subject]?.count ?: 0, running(wanted.service, wanted.zone))
         if (wanted.count <= present || clock() < (notBeforeMs[subject] ?: 0)) return
         val holder = right() ?: return
         val outcome = port.orderTargets(wanted, holder)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
@@ -44,6 +44,8 @@
 
     fun onNewsWanted(wanted: PeerMessage.NewsWanted): PeerMessage.News
 
+    fun onTexts(texts: PeerMessage.Texts)
+
     /** Answers a call of a peer. */
     suspend fun onCall(call: PeerCall): PeerReply
 }
@@ -141,6 +143,7 @@
             }
             is PeerMessage.News -> events.onNews(message)
             is PeerMessage.NewsWanted -> connection.send(encode(events.onNewsWanted(message)))
+            is PeerMessage.Texts -> events.onTexts(message)
             is PeerMessage.Call -> loop.scope.launch { answer(connection, message) }
             is PeerMessage.Reply -> linkOf(connection)?.onReply(message)
         }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
@@ -10,6 +10,7 @@
 import io.guavashore.edge.batches.BatchId
 import io.guavashore.edge.batches.ItemId
 import io.guavashore.edge.batches.ResultPage
+import io.guavashore.edge.batches.TextPart
 import io.guavashore.leases.LeaseRecord
 import io.guavashore.platform.Collection
 import io.guavashore.platform.EntryChange
@@ -97,6 +98,13 @@
         val afterRevision: Long,
     ) : PeerMessage
 
+    /** Unfinished texts, for the VM that would take the coordinator's work over. */
+    @Serializable
+    @SerialName("t")
+    data class Texts(
+        val parts: List<TextPart>,
+    ) : PeerMessage
+
     @Serializable
     @SerialName("c")
     data class Call(
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/SharedStore.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/SharedStore.kt
@@ -13,6 +13,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.VmId
+import io.guavashore.metrics.Metrics
 import io.guavashore.platform.CallStore
 import io.guavashore.platform.StoreAnswer
 import io.guavashore.platform.StoreCall
@@ -29,6 +30,7 @@
     private val helpers: () -> List<VmId>,
     private val callPeer: CallPeer,
     private val clock: MonotonicClock,
+    private val metrics: Metrics,
 ) {
     private var failedSinceMs: Long? = null
     private var tryDirectAtMs = 0L
@@ -40,7 +42,12 @@
     suspend fun callDirect(
         call: StoreCall,
         timeoutMs: Long,
-    ): Result<StoreAnswer, StoreFault> = direct(call, timeoutMs).also { observe(it) }
+    ): Result<StoreAnswer, StoreFault> {
+        val outcome = direct(call, timeoutMs)
+        observe(outcome)
+        metrics.count("store.calls", "call" to call.javaClass.simpleName, "ok" to outcome.isOk.toString())
+        return outcome
+    }
 
     /** Calls the store, through a peer if need be. */
     suspend fun call(
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorWork.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorWork.kt
@@ -7,9 +7,14 @@
 import io.guavashore.api.WallClock
 import io.guavashore.edge.batches.BatchRunner
 import io.guavashore.edge.batches.BatchStore
+import io.guavashore.edge.batches.EarlierTexts
 import io.guavashore.edge.batches.EnginePace
 import io.guavashore.edge.batches.EngineUses
 import io.guavashore.edge.batches.ItemCall
+import io.guavashore.edge.batches.ItemDispatcher
+import io.guavashore.edge.batches.ItemState
+import io.guavashore.edge.batches.TextCopies
+import io.guavashore.edge.batches.TextPart
 import io.guavashore.edge.coordinator.Term
 import io.guavashore.edge.declared.ModelId
 import io.guavashore.edge.duties.DutyRight
@@ -25,6 +30,7 @@
 import io.guavashore.edge.weights.WeightDuty
 import io.guavashore.platform.CallStore
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 
 /** What outlives a term. */
@@ -40,21 +46,29 @@
     val pace: EnginePace,
 )
 
+/** Sends to the VMs that would take over what they lack of the texts of the items. */
+typealias SendTexts = (copies: TextCopies, items: List<ItemState>) -> Unit
+
 /** Work of the coordinator, while this VM is the coordinator. */
 class CoordinatorWork(
     private val parts: CoordinatorParts,
     private val clock: MonotonicClock,
     private val trueTimeMs: WallClock,
     private val right: () -> DutyRight?,
+    private val sendTexts: SendTexts,
 ) {
+    private val earlier = EarlierTexts()
     private var term: Term? = null
     private var runner: BatchRunner? = null
+    private var dispatcher: ItemDispatcher? = null
     private var weights: WeightDuty? = null
 
     /** Starts a term; it ends with [scope]. */
     fun begin(scope: CoroutineScope) {
         val keeper = weightDuty(scope)
-        val batches = batchRunner(scope, keeper)
+        val runs = itemDispatcher(scope, keeper)
+        val batches = batchRunner(scope, runs)
+        dispatcher = runs
         val current = Term(batches, parts.batchStore, parts.call, parts.ports.emptiedStatus, trueTimeMs)
         runner = batches
         weights = keeper
@@ -66,6 +80,18 @@
         scope.launch { keeper.run() }
         scope.launch { usageDuty().run() }
         scope.launch { scaleDuty(batches).run() }
+        scope.launch { copyTexts(batches) }
+    }
+
+    /** Keeps parts of texts that the coordinator sent, for the case that this VM takes over. */
+    fun keepTexts(parts: List<TextPart>) = parts.forEach(earlier::add)
+
+    private suspend fun copyTexts(batches: BatchRunner) {
+        val copies = TextCopies()
+        while (true) {
+            sendTexts(copies, batches.unlistedTexts())
+            delay(COPY_EVERY_MS)
+        }
     }
 
     /** Answers a call that only a coordinator can answer. */
@@ -73,20 +99,31 @@
 
     /** Has the work look at changed beliefs. */
     fun onBeliefsChanged() {
-        runner?.wake()
+        dispatcher?.wake()
         weights?.wake()
     }
 
     private fun batchRunner(
         scope: CoroutineScope,
-        keeper: WeightDuty,
+        runs: ItemDispatcher,
     ) = BatchRunner(
         scope = scope,
         store = parts.batchStore,
+        dispatcher = runs,
+        earlier = earlier,
+        declared = { parts.beliefs.declaration },
+        clock = clock,
+        wallClock = trueTimeMs,
+    )
+
+    private fun itemDispatcher(
+        scope: CoroutineScope,
+        keeper: WeightDuty,
+    ) = ItemDispatcher(
+        scope = scope,
         call = ItemCall(parts.ports.targets, parts.connections, parts.directory, parts.pace, clock),
         directory = parts.directory,
         pace = parts.pace,
-        declared = { parts.beliefs.declaration },
         uses = EngineUses(keeper::isLoading, keeper::serves),
         clock = clock,
         wallClock = trueTimeMs,
@@ -99,10 +136,10 @@
             needs = VersionNeeds({ parts.beliefs.namedVersions }, ::leastWanted),
             directory = parts.directory,
             control = EngineControl(parts.connections, parts.ports.targets),
-            runningOn = { runner?.runningOn(it) ?: 0 },
+            runningOn = { dispatcher?.runningOn(it) ?: 0 },
             right = right,
             clock = clock,
-            onLoaded = { runner?.wake() },
+            onLoaded = { dispatcher?.wake() },
         )
 
     private fun leastWanted(model: ModelId): Long =
@@ -130,4 +167,9 @@
             right = right,
             clock = clock,
         )
+
+    private companion object {
+        /** Work that a change of coordinator repeats at most, beside the time it takes; smaller costs more messages. */
+        const val COPY_EVERY_MS = 300L
+    }
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -11,6 +11,8 @@
 import io.guavashore.edge.batches.BatchDesk
 import io.guavashore.edge.batches.BatchStore
 import io.guavashore.edge.batches.EnginePace
+import io.guavashore.edge.batches.ItemState
+import io.guavashore.edge.batches.TextCopies
 import io.guavashore.edge.catalog.Catalog
 import io.guavashore.edge.catalog.CatalogSync
 import io.guavashore.edge.coordinator.Coordinator
@@ -59,7 +61,7 @@
     private val trueTime = TrueTime(wallClock, clock)
     private val usage = UsageBook(settings.vm, settings.incarnation, settings.usageWindowMs, trueTime::nowMs)
     private val mesh = PeerMesh(card, loop, clock, this)
-    private val store = SharedStore(ports.store, ::helpers, mesh::call, clock)
+    private val store = SharedStore(ports.store, ::helpers, mesh::call, clock, metrics)
     private val catalog =
         Catalog(
             listOf(
@@ -90,7 +92,9 @@
             ),
             clock,
             trueTime::nowMs,
-        ) { coordinator.right() }
+            right = { coordinator.right() },
+            sendTexts = ::sendTexts,
+        )
     private val coordinator: Coordinator =
         Coordinator(
             card = card,
@@ -172,6 +176,20 @@
 
     override fun onNewsWanted(wanted: PeerMessage.NewsWanted) = sync.onNewsWanted(wanted)
 
+    override fun onTexts(texts: PeerMessage.Texts) = work.keepTexts(texts.parts)
+
+    private fun sendTexts(
+        copies: TextCopies,
+        items: List<ItemState>,
+    ) {
+        val standbys = coordinator.standbys()
+        copies.retain(standbys.toSet())
+        standbys.forEach { vm ->
+            val parts = copies.partsFor(vm, items)
+            if (parts.isNotEmpty()) mesh.send(vm, PeerMessage.Texts(parts))
+        }
+    }
+
     override suspend fun onCall(call: PeerCall): PeerReply =
         if (call is PeerCall.Store) {
             val outcome = store.callDirect(call.call, call.timeoutMs)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightDuty.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightDuty.kt
@@ -47,6 +47,7 @@
     private val onLoaded: () -> Unit,
 ) {
     private val dealt = HashMap<TargetId, ModelId>()
+    private val limits = HashMap<ServiceId, LoadLimit>()
     private val loadingUntilMs = HashMap<TargetId, Long>()
     private val notBeforeMs = HashMap<TargetId, Long>()
     private val reports = HashMap<TargetId, EngineReport>()
@@ -100,7 +101,7 @@
         entries.forEach { entry -> deal[entry.id]?.let { dealt[entry.id] = it } }
         val now = clock()
         val ready = views.map { it.copy(model = deal[it.id]) }.filter { now >= (notBeforeMs[it.id] ?: 0) }
-        val terms = WeightTerms(loadsAtOnce = maxOf(LEAST_AT_ONCE, entries.size / ENGINES_PER_LOAD))
+        val terms = WeightTerms(loadsAtOnce = limits.getOrPut(service) { LoadLimit() }.current)
         planLoads(ready, versions, terms).forEach { load(it, map) }
     }
 
@@ -176,7 +177,9 @@
         decision: LoadDecision,
     ) {
         reports.remove(entry.id)
-        val deadlineMs = clock() + LONGEST_LOAD_MS
+        val startedMs = clock()
+        val deadlineMs = startedMs + LONGEST_LOAD_MS
+        val atOnce = loadingUntilMs.size
         delay(USUAL_LOAD_MS)
         while (clock() < deadlineMs && directory[entry.id] != null) {
             val report = ask(entry)
@@ -184,6 +187,7 @@
                 log.info {
                     "engine reports: engine=${entry.id} versions=${report.versions} orders=${report.ordersTaken}"
                 }
+                limits[entry.service]?.onLoaded(clock() - startedMs, atOnce)
                 val version = report.versions[decision.model] ?: 0
                 if (version < decision.version) retryLater(entry.id, "still at version $version")
                 return
@@ -218,10 +222,6 @@
         /** The next batch accepts the version before the newest one. */
         const val ALLOWED_LAG = 1L
 
-        /** Loads at once that do not slow each other: two of eight engines, about a quarter of larger pools. */
-        const val LEAST_AT_ONCE = 2
-        const val ENGINES_PER_LOAD = 4
-
         const val STEP_EVERY_MS = 150L
 
         /** A load alone takes 0.9 s. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightPlan.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightPlan.kt
@@ -44,7 +44,10 @@
 data class WeightTerms(
     /** Loads at once below which one does not slow another. */
     val loadsAtOnce: Int = 2,
-    /** Share of a model's engines that keep serving while others load ahead of need. */
+    /**
+     * Share of a model's engines that keep serving while others load ahead of need, and share that is brought to each
+     * version: as a batch accepts two versions, every engine needs every second one only, and each load has a price.
+     */
     val servingShare: Double = 0.5,
 )
 
@@ -119,7 +122,9 @@
     terms: WeightTerms,
 ): List<LoadDecision> {
     val serving = engines.count { !it.isLoading && it.version(model) >= model.required }
-    val spare = serving - maxOf(1, kotlin.math.ceil(engines.size * terms.servingShare).toInt())
+    val half = maxOf(1, kotlin.math.ceil(engines.size * terms.servingShare).toInt())
+    val newest = engines.count { it.version(model) >= model.newest || it.isLoading }
+    val spare = minOf(serving - half, half - newest)
     return engines
         .filter { !it.isLoading && it.running == 0 && it.version(model) in model.required until model.newest }
         .sortedBy { it.id }
--- a/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseMachine.kt
+++ b/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseMachine.kt
@@ -39,10 +39,14 @@
     val record: LeaseRecord,
 )
 
+/** True if the process that held a lease is known to have ended, such as when its VM runs a later one. */
+typealias HasEnded = (LeaseHolder) -> Boolean
+
 /** State machine of one contender. Not thread-safe. */
 class LeaseMachine(
     private val self: LeaseHolder,
     private val terms: LeaseTerms = LeaseTerms(),
+    private val hasEnded: HasEnded = { false },
 ) {
     private data class Seen(
         val version: ObjectVersion,
@@ -173,7 +177,7 @@
         nowMs: Long,
     ): Boolean {
         val record = current.record ?: return true
-        if (record.released || record.holder == self) return true
+        if (record.released || record.holder == self || hasEnded(record.holder)) return true
         return nowMs >= current.firstSeenAtMs + terms.termMs + terms.marginMs
     }
 
