--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/CatalogSync.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/CatalogSync.kt
@@ -91,8 +91,9 @@
     }
 
     private suspend fun watch(collection: Collection): StoreFault? {
-        val call = StoreCall.Watch(collection, catalog.asOf(collection), WATCH_MS)
-        val outcome = call(call, WATCH_MS + WATCH_MARGIN_MS)
+        val waitMs = if (collection == catalog.collections.first()) PROOF_MS else WATCH_MS
+        val call = StoreCall.Watch(collection, catalog.asOf(collection), waitMs)
+        val outcome = call(call, waitMs + WATCH_MARGIN_MS)
         if (outcome.isErr) return outcome.error
         val answer = outcome.value as StoreAnswer.Changes
         applied(collection, answer.changes, answer.asOfRevision, tellPeers = true)
@@ -152,6 +153,12 @@
          */
         const val WATCH_MS = 8_000L
         const val WATCH_MARGIN_MS = 1_000L
+
+        /**
+         * The first collection's watch is answered this often, which proves that the store serves this VM; silence
+         * there hands the watching on to other VMs, within the 5 s that an unstable store adds to the bounds.
+         */
+        const val PROOF_MS = 2_500L
         const val RETRY_MS = 250L
 
         /** Entries that lapsed during an outage are back within two seconds of its end. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerLink.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerLink.kt
@@ -24,6 +24,7 @@
     private var sequence = 0L
     private var aliveUntilMs = 0L
     private val sentAtMs = HashMap<Long, Long>()
+    private var aliveForMs = 0L
     private val calls = HashMap<Long, CompletableDeferred<PeerReply>>()
 
     /** What the peer last said of itself. */
@@ -48,10 +49,17 @@
             false
         }
 
-    /** Sends a ping; false if the connection has been silent for too long and should be opened anew. */
-    fun ping(pulse: Pulse): Boolean {
+    /**
+     * Sends a ping, whose answer shows the peer to be alive for [aliveForMs]; false if the connection has been silent
+     * for longer than that and should be opened anew.
+     */
+    fun ping(
+        pulse: Pulse,
+        aliveForMs: Long,
+    ): Boolean {
+        this.aliveForMs = aliveForMs
         val oldest = sentAtMs.values.minOrNull()
-        if (oldest != null && clock() - oldest > times.aliveForMs) return false
+        if (oldest != null && clock() - oldest > aliveForMs) return false
         val number = ++sequence
         sentAtMs[number] = clock()
         send(PeerMesh.encode(PeerMessage.Ping(number, pulse)))
@@ -62,7 +70,7 @@
         val sentMs = sentAtMs[pong.sequence] ?: return
         sentAtMs.keys.removeIf { it <= pong.sequence }
         pulse = pong.pulse
-        aliveUntilMs = sentMs + times.aliveForMs
+        aliveUntilMs = sentMs + aliveForMs
     }
 
     fun send(frame: ByteArray) {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
@@ -24,10 +24,12 @@
 
 /** Times of the mesh. */
 data class MeshTimes(
-    /** Pings are cheap beside the bounds on failover: at 11 VMs they take under 10 KB/s of a VM's link. */
+    /** Shortest time between two pings on a connection; what the coordinator uses in a system of any size. */
     val pingEveryMs: Long = 400,
-    /** Three pings without an answer. */
-    val aliveForMs: Long = 1_300,
+    /** Added for each peer, so that all pings of a VM together stay under 25 a second. */
+    val pingSpacingMs: Long = 40,
+    /** Pings without an answer after which a peer counts as dead; a lost connection shows at once. */
+    val pingsToLive: Double = 3.25,
     val connectTimeoutMs: Long = 500,
     /** Dead peers are dialled this often; a replaced VM never answers. */
     val redialEveryMs: Long = 1_000,
@@ -108,7 +110,10 @@
     }
 
     /** Sends a pulse to all peers at once, without waiting for the next ping. */
-    fun pingAll() = links.values.forEach { it.ping(events.pulse()) }
+    fun pingAll() {
+        val aliveForMs = (pingEveryMs() * times.pingsToLive).toLong()
+        links.values.forEach { it.ping(events.pulse(), aliveForMs) }
+    }
 
     private fun linkTo(vm: VmId): PeerLink? = links.values.firstOrNull { it.isAlive() && it.pulse?.card?.vm == vm }
 
@@ -121,11 +126,17 @@
 
     private suspend fun converse(link: PeerLink) {
         while (link.isOpen) {
-            if (!link.ping(events.pulse())) link.close()
-            delay(times.pingEveryMs)
+            val everyMs = pingEveryMs()
+            if (!link.ping(events.pulse(), (everyMs * times.pingsToLive).toLong())) link.close()
+            delay(everyMs)
         }
     }
 
+    private fun pingEveryMs(): Long {
+        val spaced = times.pingSpacingMs * links.size
+        return if (events.pulse().claim != null) times.pingEveryMs else maxOf(times.pingEveryMs, spaced)
+    }
+
     private fun onFrame(
         connection: FrameConnection,
         frame: ByteArray,
