Engines are ordered only once all of them are known

Ruled out: the zone maxima (not reached) and the bound by loads (it wanted more). Change: the number of engines must not have grown for 3 s before the first order; test that replays their arrival.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/ScaleDuty.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/ScaleDuty.kt
@@ -34,6 +34,7 @@
     )
 
     private val samples = HashMap<ServiceId, ArrayDeque<Sample>>()
+    private val settled = SettledCounts(clock)
     private val initially = HashMap<ServiceId, Int>()
     private val ordered = HashMap<Pair<ServiceId, ZoneId>, TargetCount>()
     private val notBeforeMs = HashMap<Pair<ServiceId, ZoneId>, Long>()
@@ -51,8 +52,7 @@
             val spec = service.scaling ?: return@forEach
             val engine = service.engine ?: return@forEach
             val present = spec.priceByZone.keys.sumOf { view.running(service.id, it) }
-            // Before any engine is known here, an order could only take engines away.
-            if (present == 0) return@forEach
+            if (!settled.isSettled(service.id, present)) return@forEach
             val demand =
                 EngineDemand(
                     slots = engine.slots,
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/duties/DutiesTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/duties/DutiesTest.kt
@@ -79,6 +79,20 @@
         }
     }
 
+    /** Load: 34 engines enter themselves over four seconds; an order for 12 would have taken 22 of them away. */
+    @Test
+    fun `no engines are ordered while others still appear`() {
+        val clock = VirtualClock()
+        val counts = SettledCounts(clock)
+        val service = ServiceId("s")
+        for (engines in 2..34) {
+            assertEquals(false, counts.isSettled(service, engines))
+            clock.advanceMs(125)
+        }
+        clock.advanceMs(3_000)
+        assertEquals(true, counts.isSettled(service, 34))
+    }
+
     @Nested
     inner class `engines wanted` {
         private val zones = listOf("a" to 1.0, "b" to 0.8, "c" to 1.25, "d" to 0.9)
