The client of TargetClientTest is started before the first timed call

Trace: the 700 ms of the first test in the class also cover loading and starting Ktor's client; its report shows 1.112 s for that one call, 1.905 s for the eight calls of the next test. Ruled out: a lost event (the seven broken answers of the next test were judged as they should). Change: the client is loaded once before the class. The time limit and all checks are as they were.

--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
@@ -13,9 +13,11 @@
 import io.guavashore.api.systemMonotonicClock
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.get
 import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Nested
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -223,4 +225,15 @@
         /** Breaks race with reading, so each is shown several times. */
         const val TIMES = 10
     }
+
+    companion object {
+        /** Loads and starts the client once, so that the first call's time limit is spent on the call. */
+        @BeforeAll
+        @JvmStatic
+        fun warmUp() {
+            runBlocking {
+                HttpClient(CIO).use { client -> runCatching { client.get("http://127.0.0.1:1/") } }
+            }
+        }
+    }
 }
