--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
@@ -221,11 +221,6 @@
         }
     }
 
-    private companion object {
-        /** Breaks race with reading, so each is shown several times. */
-        const val TIMES = 10
-    }
-
     companion object {
         /** Loads and starts the client once, so that the first call's time limit is spent on the call. */
         @BeforeAll
@@ -235,5 +230,8 @@
                 HttpClient(CIO).use { client -> runCatching { client.get("http://127.0.0.1:1/") } }
             }
         }
+
+        /** Breaks race with reading, so each is shown several times. */
+        const val TIMES = 10
     }
 }
