--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -42,6 +42,10 @@
     /** The last attempt ended with its connection. */
     var brokeOff = false
     val tried = HashSet<TargetId>()
+    val stream = StreamProgress()
+
+    /** True if the answer has begun and no other target may go on with it. */
+    val isCutOff: Boolean get() = exchange.hasBegun && !route.isResumable
 }
 
 /** Tells that a request of an organisation began to run. */
@@ -124,7 +128,7 @@
         loads.begin(target.id)
         try {
             val timeMs = attemptTimeMs(call.route, call.attempts, leftMs)
-            val terms = PassOn(target.id, call.organisation, leftMs, call.facts.lastEventId)
+            val terms = PassOn(target.id, call.organisation, leftMs, call.stream.lastEventId ?: call.facts.lastEventId)
             connection.send(targets.passOn(call.exchange.request, terms))
             return withTimeoutOrNull(timeMs) { Outcome(answer(call, target, connection)) }
                 .let { if (it == null) timedOut(call, target) else it.end }
@@ -132,7 +136,7 @@
             directory.failed(target.id)
             call.brokeOff = true
             log.info { "answer broke off: request=${call.facts.requestId} target=${target.id} cause=${e.message}" }
-            return if (call.exchange.hasBegun) abort(call) else AttemptEnd.UNCERTAIN
+            return if (call.isCutOff) abort(call) else AttemptEnd.UNCERTAIN
         } finally {
             loads.end(target.id)
             if (connection.busy) connection.close() else connections.giveBack(target.id, connection)
@@ -144,7 +148,7 @@
         target: TargetEntry,
     ): AttemptEnd? {
         directory.failed(target.id)
-        return if (call.exchange.hasBegun) abort(call) else AttemptEnd.UNCERTAIN
+        return if (call.isCutOff) abort(call) else AttemptEnd.UNCERTAIN
     }
 
     private fun abort(call: ForwardedCall): AttemptEnd? {
@@ -164,11 +168,21 @@
         if (facts.notRun || head.status == MISDIRECTED) return notRun(target, head, connection)
         countBegin(call)
         if (!facts.isGenuine && head.status < FIRST_ERROR) return foreign(connection)
-        if (call.route.kind == RouteKind.STREAMING && head.status < FIRST_ERROR) {
-            streams.pass(call, head, connection)
-            return null
+        val isStream = call.route.kind == RouteKind.STREAMING && head.status < FIRST_ERROR
+        return when {
+            isStream -> passStream(call, head, connection)
+            call.exchange.hasBegun -> foreign(connection)
+            else -> passWhole(call, target, head, facts, connection)
         }
-        return passWhole(call, target, head, facts, connection)
+    }
+
+    private suspend fun passStream(
+        call: ForwardedCall,
+        head: AnswerHead,
+        connection: HttpConnection,
+    ): AttemptEnd? {
+        val end = streams.pass(call, head, connection)
+        return if (end != null && call.isCutOff) abort(call) else end
     }
 
     private suspend fun passWhole(
@@ -231,7 +245,7 @@
     ) {
         log.info {
             "request refused: request=${call.facts.requestId} status=$status reason=$message " +
-                "sent=${call.attempts.sent}"
+                "sent=${call.attempts.sent} begun=${call.exchange.hasBegun}"
         }
         metrics.count(
             "requests",
@@ -240,7 +254,15 @@
                 call.route.kind.name
                     .lowercase(),
         )
-        call.exchange.respond(callers.refusal(status, message, retryAfterMs, call.facts))
+        respond(call, callers.refusal(status, message, retryAfterMs, call.facts))
+    }
+
+    /** An answer that has begun can only be cut. */
+    private fun respond(
+        call: ForwardedCall,
+        answer: HttpAnswer,
+    ) {
+        if (call.exchange.hasBegun) call.exchange.abort() else call.exchange.respond(answer)
     }
 
     /** The request may have run: says so, and promises nothing. */
@@ -259,7 +281,7 @@
                 call.route.kind.name
                     .lowercase(),
         )
-        call.exchange.respond(callers.refusal(status, "the outcome of the request is unknown", null, call.facts))
+        respond(call, callers.refusal(status, "the outcome of the request is unknown", null, call.facts))
     }
 
     /** Distinguishes a finished attempt from a timeout. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
@@ -1,28 +1,101 @@
 /*
  * Passes an event stream on, event by event.
+ *
+ * A stream that may be resumed and whose run breaks off goes on at another target within the same answer: the next run
+ * is asked for what follows the last event that the caller has, and must use the same version of the weights.
  */
 package io.guavashore.edge.forward
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.edge.targets.EventReader
+import io.guavashore.edge.targets.StreamEvent
 import io.guavashore.edge.targets.TargetProtocol
 import io.guavashore.net.AnswerHead
 import io.guavashore.net.HttpConnection
+import kotlinx.coroutines.withTimeoutOrNull
+
+private val log = KotlinLogging.logger {}
+
+/** What a caller has of its stream so far. */
+class StreamProgress {
+    var lastEventId: Long? = null
+    var weightVersion: Long? = null
+}
 
 internal class StreamForwarder(
     private val targets: TargetProtocol,
 ) {
-    /** Forwards whole events only; a stream that breaks is cut, so that it does not look complete. */
+    /**
+     * Forwards whole events only. Returns null once the caller has the whole stream; a stream that breaks is resumed
+     * by the next attempt, or cut, so that it does not look complete.
+     */
     suspend fun pass(
         call: ForwardedCall,
         head: AnswerHead,
         connection: HttpConnection,
-    ) {
-        call.exchange.begin(AnswerHead(head.status, targets.answerHeaders(head)))
+    ): AttemptEnd? {
+        val version = targets.facts(head).weightVersion
+        if (call.exchange.hasBegun) {
+            if (version != call.stream.weightVersion) return broken(call, "version $version of the weights")
+        } else {
+            call.exchange.begin(AnswerHead(head.status, targets.answerHeaders(head)))
+            call.stream.weightVersion = version
+        }
         val reader = EventReader()
         while (true) {
-            val part = connection.nextPart() ?: break
-            reader.take(part).forEach { call.exchange.write(it.raw) }
+            val part = nextPart(call, connection) ?: return broken(call, "no event in $LONGEST_SILENCE_MS ms")
+            val events = reader.take(part.bytes ?: break)
+            if (!events.all { pass(call, it) }) return broken(call, "event out of order")
+        }
+        if (!reader.isBetweenEvents) return broken(call, "ended within an event")
+        call.exchange.finish()
+        return null
+    }
+
+    /** The next bytes, or null if a stream that can go on elsewhere has been silent for too long. */
+    private suspend fun nextPart(
+        call: ForwardedCall,
+        connection: HttpConnection,
+    ): Part? =
+        if (call.route.isResumable) {
+            withTimeoutOrNull(LONGEST_SILENCE_MS) { Part(connection.nextPart()) }
+        } else {
+            Part(connection.nextPart())
         }
-        if (reader.isBetweenEvents) call.exchange.finish() else call.exchange.abort()
+
+    /** False for an event that does not follow the last one. */
+    private suspend fun pass(
+        call: ForwardedCall,
+        event: StreamEvent,
+    ): Boolean {
+        val last = call.stream.lastEventId
+        val id = event.id
+        if (last != null && id != null && id != last + 1) return false
+        call.stream.weightVersion =
+            event.lines.firstNotNullOfOrNull(targets.eventVersion) ?: call.stream.weightVersion
+        call.stream.lastEventId = id ?: last
+        call.exchange.write(event.raw)
+        return true
+    }
+
+    private fun broken(
+        call: ForwardedCall,
+        reason: String,
+    ): AttemptEnd {
+        log.info {
+            "stream broke off: request=${call.facts.requestId} reason=$reason last_event=${call.stream.lastEventId} " +
+                "version=${call.stream.weightVersion} resumable=${call.route.isResumable}"
+        }
+        return AttemptEnd.UNCERTAIN
+    }
+
+    /** Distinguishes the end of a body from a timeout. */
+    private class Part(
+        val bytes: ByteArray?,
+    )
+
+    private companion object {
+        /** Callers leave after a gap of 2 s or more; the rest is for the run at another target. */
+        const val LONGEST_SILENCE_MS = 1_200L
     }
 }
