A write sent before a suspension no longer makes its sender the holder

A holder's write had no answer; the VM stood still; the guard noticed and doubt() gave up the right, but kept the open write. The read that followed settled it, and the term was counted from the write's sending by a monotonic clock that had not counted the suspension, so it reached into a term that another VM had taken meanwhile.

Ruled out: steps of the time of day that cancel a suspension (the schedules have none), and the guard's tolerance.

Change: doubt() forgets the open write too. The holder's own record in the store lets it write again at once, under the same number.

--- a/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseMachine.kt
+++ b/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseMachine.kt
@@ -79,10 +79,12 @@
 
     /**
      * Gives up the right to act until the store has been read and written again: the process may have stood still
-     * while its monotonic clock did too.
+     * while its monotonic clock did too. A write without an answer proves nothing either: the term that it began is
+     * counted from its sending, by the same clock.
      */
     fun doubt() {
         held = null
+        pending = null
         mustRead = true
     }
 
--- a/guavashore-leases/src/test/kotlin/io/guavashore/leases/LeaseMachineTest.kt
+++ b/guavashore-leases/src/test/kotlin/io/guavashore/leases/LeaseMachineTest.kt
@@ -112,6 +112,23 @@
         }
     }
 
+    @Nested
+    inner class `a write before a suspension` {
+        @Test
+        fun `does not make its sender the holder when it is read back`() {
+            val store = OneObject()
+            val machine = LeaseMachine(holder("a"))
+            machine.onRead(store.version, null, nowMs = 0)
+            store.write(assertIs<LeaseAction.Write>(machine.next(1_000)))
+            machine.onUnavailable(nowMs = 1_100)
+            machine.doubt()
+            machine.onRead(store.version, store.record, nowMs = 1_200)
+            assertNull(machine.heldAt(1_200))
+            machine.drive(store, 1_300)
+            assertNotNull(machine.heldAt(1_300))
+        }
+    }
+
     @Nested
     inner class `a renewal that is lost on its way` {
         @Test
