One way to read an answer, one place that ends calls, smaller files

Cause: a second reading of the whole change.

Ruled out: one loop for Term.follow and CatalogSync.follow. They list and watch alike, but one starts over by a listing and the other only while it is a watcher, with news from peers in between; a shared loop would need a switch for each. The other pairs of like shape are lists of constants or fields.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -71,7 +71,7 @@
         } catch (e: ExchangeFailure) {
             return RunOutcome.Broken(e.message.orEmpty())
         } finally {
-            if (connection.busy) connection.close() else connections.giveBack(engine.id, connection)
+            connections.giveBack(engine.id, connection)
         }
     }
 
@@ -116,7 +116,7 @@
         while (true) {
             val silenceMs = pace.longestSilenceMs(engine.id)
             val part =
-                withTimeoutOrNull(silenceMs) { Part(connection.nextPart()) }
+                connection.nextPartWithin(silenceMs)
                     ?: return RunOutcome.Broken("no event in $silenceMs ms")
             val problem = run.take(part.bytes ?: return run.end())
             if (problem != null) return problem
@@ -167,11 +167,6 @@
         }
     }
 
-    /** Distinguishes the end of a body from a timeout. */
-    private class Part(
-        val bytes: ByteArray?,
-    )
-
     private companion object {
         const val OK = 200
         const val FAILED = 500
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Term.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Term.kt
@@ -103,20 +103,14 @@
             }
             asOf =
                 when (val answer = outcome.value) {
-                    is StoreAnswer.Listing ->
-                        answer
-                            .also {
-                                it.entries.forEach { entry ->
-                                    onEntry(entry, false)
-                                }
-                            }.asOfRevision
-                    is StoreAnswer.Changes ->
-                        answer
-                            .also {
-                                it.changes.forEach { change ->
-                                    onEntry(change.entry, change.deleted)
-                                }
-                            }.asOfRevision
+                    is StoreAnswer.Listing -> {
+                        answer.entries.forEach { onEntry(it, false) }
+                        answer.asOfRevision
+                    }
+                    is StoreAnswer.Changes -> {
+                        answer.changes.forEach { onEntry(it.entry, it.deleted) }
+                        answer.asOfRevision
+                    }
                     is StoreAnswer.Entry -> null
                 }
         }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/declared/ServiceMap.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/declared/ServiceMap.kt
@@ -5,6 +5,7 @@
 
 import io.guavashore.api.OrganisationId
 import io.guavashore.api.ServiceId
+import io.guavashore.api.ZoneId
 import io.guavashore.net.CallerLimits
 
 /** Route's name, stable over versions of the declaration. */
@@ -99,7 +100,7 @@
     val max: Int,
     val bootMs: Long,
     val spotPriceFactor: Double?,
-    val priceByZone: Map<io.guavashore.api.ZoneId, Double>,
+    val priceByZone: Map<ZoneId, Double>,
 )
 
 /** Service with its targets' terms; [maxConnections] holds for all callers of one target together. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -57,19 +57,20 @@
     private val directory: TargetDirectory,
     private val connections: TargetConnections,
     private val targets: TargetProtocol,
-    private val callers: CallerProtocol,
+    callers: CallerProtocol,
     private val poison: PoisonList,
     private val countUse: CountUse,
-    private val metrics: Metrics,
+    metrics: Metrics,
     private val clock: MonotonicClock,
 ) {
     private val loads = TargetLoads()
     private val streams = StreamForwarder(targets)
+    private val answers = FinalAnswers(callers, metrics)
 
     suspend fun forward(call: ForwardedCall) {
         val fingerprint = poison.fingerprint(call)
         if (poison.isPoison(fingerprint)) {
-            return refuse(call, UNAVAILABLE, "this request has crashed several targets", null)
+            return answers.refuse(call, UNAVAILABLE, "this request has crashed several targets", null)
         }
         while (true) {
             val target = choose(call) ?: return noTarget(call)
@@ -85,8 +86,8 @@
             }
             when (next) {
                 NextStep.TRY_ANOTHER -> Unit
-                NextStep.REFUSE -> return refuse(call, UNAVAILABLE, "all targets are full", FULL_RETRY_AFTER_MS)
-                NextStep.FAIL -> return fail(call, leftMs)
+                NextStep.REFUSE -> return answers.refuse(call, UNAVAILABLE, "all targets are full", FULL_RETRY_AFTER_MS)
+                NextStep.FAIL -> return answers.fail(call, leftMs)
             }
         }
     }
@@ -139,7 +140,7 @@
             return if (call.isCutOff) abort(call) else AttemptEnd.UNCERTAIN
         } finally {
             loads.end(target.id)
-            if (connection.busy) connection.close() else connections.giveBack(target.id, connection)
+            connections.giveBack(target.id, connection)
         }
     }
 
@@ -201,13 +202,7 @@
         if (!facts.isGenuine) return AttemptEnd.UNCERTAIN
         directory.worked(target.id)
         call.exchange.respond(HttpAnswer(head.status, targets.answerHeaders(head), body))
-        metrics.count(
-            "requests",
-            "outcome" to "answered",
-            "route_kind" to
-                call.route.kind.name
-                    .lowercase(),
-        )
+        answers.count(call, "answered")
         return null
     }
 
@@ -233,55 +228,8 @@
     }
 
     private fun noTarget(call: ForwardedCall) {
-        if (call.attempts.mayHaveRun > 0) return fail(call, call.deadlineMs - clock())
-        refuse(call, UNAVAILABLE, "no target of the service is in reach", NO_TARGET_RETRY_AFTER_MS)
-    }
-
-    private fun refuse(
-        call: ForwardedCall,
-        status: Int,
-        message: String,
-        retryAfterMs: Long?,
-    ) {
-        log.info {
-            "request refused: request=${call.facts.requestId} status=$status reason=$message " +
-                "sent=${call.attempts.sent} begun=${call.exchange.hasBegun}"
-        }
-        metrics.count(
-            "requests",
-            "outcome" to "refused",
-            "route_kind" to
-                call.route.kind.name
-                    .lowercase(),
-        )
-        respond(call, callers.refusal(status, message, retryAfterMs, call.facts))
-    }
-
-    /** An answer that has begun can only be cut. */
-    private fun respond(
-        call: ForwardedCall,
-        answer: HttpAnswer,
-    ) {
-        if (call.exchange.hasBegun) call.exchange.abort() else call.exchange.respond(answer)
-    }
-
-    /** The request may have run: says so, and promises nothing. */
-    private fun fail(
-        call: ForwardedCall,
-        leftMs: Long,
-    ) {
-        val status = if (leftMs <= LATE_MS) GATEWAY_TIMEOUT else BAD_GATEWAY
-        log.warn {
-            "request failed: request=${call.facts.requestId} status=$status tried=${call.tried} left_ms=$leftMs"
-        }
-        metrics.count(
-            "requests",
-            "outcome" to "failed",
-            "route_kind" to
-                call.route.kind.name
-                    .lowercase(),
-        )
-        respond(call, callers.refusal(status, "the outcome of the request is unknown", null, call.facts))
+        if (call.attempts.mayHaveRun > 0) return answers.fail(call, call.deadlineMs - clock())
+        answers.refuse(call, UNAVAILABLE, "no target of the service is in reach", NO_TARGET_RETRY_AFTER_MS)
     }
 
     /** Distinguishes a finished attempt from a timeout. */
@@ -294,9 +242,6 @@
         const val FIRST_SERVER_ERROR = 500
         const val MISDIRECTED = 421
         const val UNAVAILABLE = 503
-        const val BAD_GATEWAY = 502
-        const val GATEWAY_TIMEOUT = 504
-        const val LATE_MS = 20L
 
         /** Answers up to this size are held until they are complete, so that a cut one can be asked for again. */
         const val MOST_WHOLE_BYTES = 8_000_000
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
@@ -11,8 +11,8 @@
 import io.guavashore.edge.targets.StreamEvent
 import io.guavashore.edge.targets.TargetProtocol
 import io.guavashore.net.AnswerHead
+import io.guavashore.net.BodyPart
 import io.guavashore.net.HttpConnection
-import kotlinx.coroutines.withTimeoutOrNull
 
 private val log = KotlinLogging.logger {}
 
@@ -56,11 +56,11 @@
     private suspend fun nextPart(
         call: ForwardedCall,
         connection: HttpConnection,
-    ): Part? =
+    ): BodyPart? =
         if (call.route.isResumable) {
-            withTimeoutOrNull(LONGEST_SILENCE_MS) { Part(connection.nextPart()) }
+            connection.nextPartWithin(LONGEST_SILENCE_MS)
         } else {
-            Part(connection.nextPart())
+            BodyPart(connection.nextPart())
         }
 
     /** False for an event that does not follow the last one. */
@@ -89,11 +89,6 @@
         return AttemptEnd.UNCERTAIN
     }
 
-    /** Distinguishes the end of a body from a timeout. */
-    private class Part(
-        val bytes: ByteArray?,
-    )
-
     private companion object {
         /** Callers leave after a gap of 2 s or more; the rest is for the run at another target. */
         const val LONGEST_SILENCE_MS = 1_200L
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -40,6 +40,8 @@
 import io.guavashore.net.HttpDialer
 import io.guavashore.net.HttpServer
 import io.guavashore.net.ProcessLoop
+import io.guavashore.platform.Collection
+import io.guavashore.platform.EntryChange
 import io.guavashore.platform.StoreCall
 import io.guavashore.platform.StoreFault
 import kotlinx.coroutines.delay
@@ -220,8 +222,8 @@
             .map { it.card.vm }
 
     private fun onChanges(
-        collection: io.guavashore.platform.Collection,
-        changes: List<io.guavashore.platform.EntryChange>,
+        collection: Collection,
+        changes: List<EntryChange>,
     ) {
         beliefs.apply(collection, changes)
         if (collection == SharedCollections.VMS) changes.forEach(::meet)
@@ -229,7 +231,7 @@
         work.onBeliefsChanged()
     }
 
-    private fun meet(change: io.guavashore.platform.EntryChange) {
+    private fun meet(change: EntryChange) {
         val known = Json.decodeFromString<VmCard>(change.entry.content)
         if (change.deleted) mesh.forget(known.address) else mesh.meet(known.address)
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
@@ -33,12 +33,9 @@
         val connection = connections.take(engine)
         try {
             connection.send(message)
-            return withTimeoutOrNull(timeoutMs) {
-                val head = connection.head()
-                HttpAnswer(head.status, head.headers, connection.wholeBody(MOST_REPORT_BYTES))
-            }
+            return withTimeoutOrNull(timeoutMs) { connection.wholeAnswer(MOST_REPORT_BYTES) }
         } finally {
-            if (connection.busy) connection.close() else connections.giveBack(engine.id, connection)
+            connections.giveBack(engine.id, connection)
         }
     }
 
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -20,6 +20,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.channels.Channel.Factory.UNLIMITED
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlinx.coroutines.channels.Channel as Mailbox
 
@@ -29,6 +31,11 @@
     val headers: Headers,
 )
 
+/** What a read of a body brought: [bytes], or null at its complete end. */
+class BodyPart(
+    val bytes: ByteArray?,
+)
+
 /**
  * Connection to one server.
  *
@@ -117,9 +124,18 @@
         return null
     }
 
+    /** As [nextPart]; null if nothing came in [timeoutMs]. */
+    suspend fun nextPartWithin(timeoutMs: Long): BodyPart? = withTimeoutOrNull(timeoutMs) { BodyPart(nextPart()) }
+
+    /** Reads the whole answer; fails if its body is longer than [mostBytes]. */
+    suspend fun wholeAnswer(mostBytes: Int): HttpAnswer {
+        val head = head()
+        return HttpAnswer(head.status, head.headers, wholeBody(mostBytes))
+    }
+
     /** Reads the rest of the body; fails if it is longer than [mostBytes]. */
     suspend fun wholeBody(mostBytes: Int): ByteArray {
-        val whole = java.io.ByteArrayOutputStream()
+        val whole = ByteArrayOutputStream()
         while (true) {
             val part = nextPart() ?: return whole.toByteArray()
             whole.write(part)
