--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -41,6 +41,9 @@
 
     /** The last attempt ended with its connection. */
     var brokeOff = false
+
+    /** A target's answer came to its end. */
+    var wasServed = false
     val tried = HashSet<TargetId>()
     val stream = StreamProgress()
 
@@ -75,9 +78,11 @@
         while (true) {
             val target = choose(call) ?: return noTarget(call)
             call.tried += target.id
-            val end = attempt(call, target) ?: return
-            call.attempts = call.attempts.after(end)
+            val end = attempt(call, target)
             if (call.brokeOff) poison.suspect(fingerprint, target.id)
+            if (call.wasServed) poison.served(fingerprint)
+            if (end == null) return
+            call.attempts = call.attempts.after(end)
             val leftMs = call.deadlineMs - clock()
             val next = afterAttempt(call.route, call.attempts, end, leftMs)
             log.info {
@@ -183,6 +188,7 @@
         connection: HttpConnection,
     ): AttemptEnd? {
         val end = streams.pass(call, head, connection)
+        call.wasServed = end == null
         return if (end != null && call.isCutOff) abort(call) else end
     }
 
@@ -201,6 +207,7 @@
         }
         if (!facts.isGenuine) return AttemptEnd.UNCERTAIN
         directory.worked(target.id)
+        call.wasServed = true
         call.exchange.respond(HttpAnswer(head.status, targets.answerHeaders(head), body))
         answers.count(call, "answered")
         return null
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PoisonList.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PoisonList.kt
@@ -3,7 +3,7 @@
  *
  * Load pattern: a request that crashes each target that runs it comes again and again, also at other VMs, and takes a
  * service down target by target. A request counts as poison once its runs on two targets have ended with their
- * connections.
+ * connections and none has come to its end between them.
  */
 package io.guavashore.edge.forward
 
@@ -33,6 +33,9 @@
         target: TargetId,
     ) = suspects.crashed(target, listOf(fingerprint), clock())
 
+    /** The request ran to its end on a target, so the run that broke off before did not end for its sake. */
+    fun served(fingerprint: RequestFingerprint) = suspects.completed(fingerprint)
+
     private companion object {
         /** A caller that repeats such a request does so within seconds. */
         const val KEEP_MS = 60_000L
