A VM that starts among others takes the catalog from them, and writes no entry that stands already

Two VMs watch the engines and each is answered up to 6 times a second, though the second hears all from the first.

Ruled out: one watcher (a silent watch would hide engines for seconds); fewer chunks of results (they bound what a failover repeats).

Change: a starting VM waits up to 150 ms for pulses; then the two VMs that are to watch list, others wait up to 1 s for what peers know. A collection is asked of one peer at a time, again after 250 ms. A VM whose entry stands with its address writes nothing (Registration, taken out of EdgeProcess; an unreadable entry is logged, no longer thrown). The second watcher gathers changes for 1 s.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/CatalogSync.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/CatalogSync.kt
@@ -3,6 +3,7 @@
  *
  * Every call to the store has a price, so two VMs watch it and tell the others. A VM that hears in a peer's pulse of
  * changes that it lacks asks that peer for them; a VM without peers, or whose watchers have gone quiet, watches itself.
+ * A VM that starts among others takes from them what they know: VMs are restarted by the dozen.
  */
 package io.guavashore.edge.catalog
 
@@ -50,10 +51,14 @@
     /** True while the store is away, and shortly after: entries may be missing for that reason alone. */
     fun storeWasAway(): Boolean = clock() < awayUntilMs
 
+    /** Times before which no peer is asked again for what it was asked for. */
+    private val askAgainAtMs = HashMap<Collection, Long>()
+
     /** Keeps [collection] up to date until cancelled. */
     suspend fun follow(collection: Collection) {
+        awaitPeers(collection)
         while (true) {
-            if (catalog.isKnown(collection) && !isWatcher()) {
+            if (catalog.isKnown(collection) && rank() >= WATCHERS) {
                 delay(LOOK_EVERY_MS)
                 continue
             }
@@ -62,6 +67,15 @@
         }
     }
 
+    /** Waits until the collection is known from peers, or it is for this VM to list it. */
+    private suspend fun awaitPeers(collection: Collection) {
+        repeat((PEERS_MS / PEERS_LOOK_MS).toInt()) { look ->
+            val mayList = look * PEERS_LOOK_MS >= FIRST_PULSES_MS && rank() < WATCHERS
+            if (mayList || catalog.isKnown(collection)) return
+            delay(PEERS_LOOK_MS)
+        }
+    }
+
     fun onNews(news: PeerMessage.News) = applied(news.collection, news.changes, news.completeTo, tellPeers = false)
 
     fun onNewsWanted(wanted: PeerMessage.NewsWanted) =
@@ -71,20 +85,27 @@
             completeTo = catalog.asOf(wanted.collection),
         )
 
-    /** Collections of which [pulse] shows newer changes than are known here. */
-    fun lacking(pulse: Pulse): List<PeerMessage.NewsWanted> =
-        pulse.newest
+    /** What to ask the sender of [pulse] for. One peer at a time is asked for what a collection lacks here. */
+    fun lacking(pulse: Pulse): List<PeerMessage.NewsWanted> {
+        val now = clock()
+        return pulse.newest
             .filter { (collection, newest) -> collection in catalog.collections && lacks(collection, newest) }
-            .map { (collection, _) -> PeerMessage.NewsWanted(collection, catalog.asOf(collection)) }
+            .filter { (collection, _) -> now >= (askAgainAtMs[collection] ?: now) }
+            .map { (collection, _) ->
+                askAgainAtMs[collection] = now + ASK_AGAIN_MS
+                PeerMessage.NewsWanted(collection, catalog.asOf(collection))
+            }
+    }
 
     private fun lacks(
         collection: Collection,
         newest: Long,
     ) = newest > catalog.newestChange(collection) || (newest > 0 && !catalog.isKnown(collection))
 
-    private fun isWatcher(): Boolean {
+    /** Number of VMs that would watch the store rather than this one. */
+    private fun rank(): Int {
         val own = rankOf(self)
-        return alivePeers().count { it.storeReachable && !it.stopping && rankOf(it.card.vm) < own } < WATCHERS
+        return alivePeers().count { it.storeReachable && !it.stopping && rankOf(it.card.vm) < own }
     }
 
     private fun rankOf(vm: VmId) = ranks.getOrPut(vm) { stableHash("watch/$vm") }
@@ -106,7 +127,7 @@
         if (outcome.isErr) return outcome.error
         val answer = outcome.value as StoreAnswer.Changes
         applied(collection, answer.changes, answer.asOfRevision, tellPeers = true)
-        if (answer.changes.isEmpty() || !isProof(collection)) delay(GATHER_MS)
+        if (answer.changes.isEmpty() || !isProof(collection)) delay(if (rank() == 0) GATHER_MS else SPARE_GATHER_MS)
         return null
     }
 
@@ -124,7 +145,7 @@
                 awayUntilMs = clock() + AWAY_MS
                 delay(RETRY_MS)
             }
-            if (!catalog.isKnown(collection) || !isWatcher()) return
+            if (!catalog.isKnown(collection) || rank() >= WATCHERS) return
             // A listing also shows what a watch that fell silent has missed.
             remaining = list(collection)
         }
@@ -181,6 +202,19 @@
          */
         const val GATHER_MS = 150L
 
+        /** The second watcher hears from the first; it is there for the case that the first one's watch is lost. */
+        const val SPARE_GATHER_MS = 1_000L
+
+        /** A peer that is there answers the first ping within a few round trips between availability zones. */
+        const val FIRST_PULSES_MS = 150L
+
+        /** Where all VMs start together, two list and the others have it from them; after this each lists itself. */
+        const val PEERS_MS = 1_000L
+        const val PEERS_LOOK_MS = 25L
+
+        /** Several round trips; a peer that was asked may have gone. */
+        const val ASK_AGAIN_MS = 250L
+
         /** Entries that lapsed during an outage are back within two seconds of its end. */
         const val AWAY_MS = 3_000L
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -16,6 +16,8 @@
 import io.guavashore.edge.batches.TextCopies
 import io.guavashore.edge.catalog.Catalog
 import io.guavashore.edge.catalog.CatalogSync
+import io.guavashore.edge.catalog.Registration
+import io.guavashore.edge.catalog.readVmCard
 import io.guavashore.edge.coordinator.Coordinator
 import io.guavashore.edge.coordinator.SuspensionGuard
 import io.guavashore.edge.coordinator.leaseObjects
@@ -42,11 +44,8 @@
 import io.guavashore.net.ProcessLoop
 import io.guavashore.platform.Collection
 import io.guavashore.platform.EntryChange
-import io.guavashore.platform.StoreCall
-import io.guavashore.platform.StoreFault
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.json.Json
 
 private val log = KotlinLogging.logger {}
 
@@ -138,7 +137,7 @@
         server.listen(settings.callers)
         listenForOperations()
         catalog.collections.forEach { collection -> loop.scope.launch { sync.follow(collection) } }
-        loop.scope.launch { register() }
+        loop.scope.launch { Registration(card, SharedCollections.VMS, catalog, store::call).ensure() }
         loop.scope.launch { coordinator.run() }
     }
 
@@ -232,29 +231,10 @@
     }
 
     private fun meet(change: EntryChange) {
-        val known = Json.decodeFromString<VmCard>(change.entry.content)
+        val known = readVmCard(change.entry.content) ?: return
         if (change.deleted) mesh.forget(known.address) else mesh.meet(known.address)
     }
 
-    /** Writes this VM's card, so that others find it. */
-    private suspend fun register() {
-        val content = Json.encodeToString(card)
-        while (true) {
-            val created =
-                store.call(
-                    StoreCall.Create(SharedCollections.VMS, card.vm.value, content),
-                    REGISTER_TIMEOUT_MS,
-                )
-            if (created.isOk) return
-            if (created.error is StoreFault.Conflict) {
-                val replace = StoreCall.Replace(SharedCollections.VMS, card.vm.value, content)
-                if (store.call(replace, REGISTER_TIMEOUT_MS).isOk) return
-            }
-            log.warn { "not registered yet: fault=${created.error.message}" }
-            delay(REGISTER_PAUSE_MS)
-        }
-    }
-
     private suspend fun listenForOperations() {
         HttpServer(loop, { CallerLimits() }) { exchange ->
             val ready = beliefs.declaration != null && !stopping
@@ -272,8 +252,6 @@
 
         /** Well below the third of a lease's term that its margin leaves. */
         const val LEASE_TIMEOUT_MS = 500L
-        const val REGISTER_TIMEOUT_MS = 1_000L
-        const val REGISTER_PAUSE_MS = 500L
 
         /** The balancer asks once a second and gives a VM up after two misses. */
         const val BALANCER_MS = 2_600L
