Who takes a batch over seals it, so no earlier coordinator lists more behind its back

Change: chunks of results name the fencing number of the coordinator that wrote them. Who takes a batch over first writes an empty chunk behind those that stand; a runner that meets a higher number than its own leaves the batch. An ended batch is answered from memory only if the last chunk is the coordinator's own; else readers ask the store.

Test: BatchSchedulesTest, 10,000 schedules of a takeover with lost, late and refused calls.

Conclusion: what a coordinator answers from memory is all that is listed. Open: a coordinator that is cut from store and peers may show callers of its own VM fewer results than its successor has listed, until it hears of it.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Batch.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Batch.kt
@@ -104,8 +104,13 @@
     val next: Int,
 )
 
-/** Results that were written to the store together; chunks of a batch are numbered without gaps. */
+/**
+ * Results that were written to the store together; chunks of a batch are numbered without gaps.
+ *
+ * @property fence fencing number of the coordinator that wrote it; one with a lower number writes no more after it
+ */
 @Serializable
 data class ResultChunk(
     val results: List<ItemResult>,
+    val fence: Long = 0,
 )
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchRunner.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchRunner.kt
@@ -2,7 +2,9 @@
  * Runs all open batches; active on the coordinator only.
  *
  * Two runners at once do no harm beyond work done twice: the store fixes what is listed. So a runner goes on
- * through outages of the store, and stops when it learns that another VM has taken over.
+ * through outages of the store, and stops when it learns that another VM has taken over. A runner answers readers from
+ * its memory, which must hold all that is listed: who takes a batch over first writes an empty chunk with its fencing
+ * number, and a runner that meets a higher number than its own lists no more.
  */
 package io.guavashore.edge.batches
 
@@ -22,6 +24,7 @@
 /** Runner of batches in [scope], which is cancelled when this VM ceases to be the coordinator. */
 class BatchRunner(
     private val scope: CoroutineScope,
+    private val fence: Long,
     private val store: BatchStore,
     private val dispatcher: ItemDispatcher,
     private val earlier: EarlierTexts,
@@ -66,13 +69,24 @@
         dispatcher.wake()
     }
 
+    /** Takes a batch over from another coordinator, with the [chunks] that were in the store. */
+    suspend fun takeOver(
+        stored: StoredBatch,
+        chunks: List<ResultChunk>,
+    ) {
+        val sealed = store.seal(stored.id, chunks, fence)
+        if (sealed.last().fence == fence) return adopt(stored, sealed)
+        log.info { "batch not taken over: batch=${stored.id} own_fence=$fence fence=${sealed.last().fence}" }
+    }
+
     operator fun get(id: BatchId): BatchState? = batches[id]
 
     /** Stops the work of a batch whose end was asked for. */
     fun end(id: BatchId) {
         val batch = batches.remove(id) ?: return
         batch.end()
-        ended.keep(batch)
+        // Otherwise an earlier coordinator may have listed more than is known here; readers then ask the store.
+        if (batch.lastFence == fence) ended.keep(batch)
         earlier.drop(batch)
         earlier.keep(batch)
         log.info {
@@ -136,11 +150,14 @@
         committing += batch.id
         scope.launch {
             try {
-                val chunk = ResultChunk(items.mapNotNull { it.result })
-                batch.list(store.append(batch.id, batch.nextChunk, chunk))
+                val chunk = ResultChunk(items.mapNotNull { it.result }, fence)
+                val written = store.append(batch.id, batch.nextChunk, chunk)
+                batch.list(written)
                 log.info {
-                    "results listed: batch=${batch.id} chunk=${batch.nextChunk - 1} total=${batch.results.size}"
+                    "results listed: batch=${batch.id} chunk=${batch.nextChunk - 1} total=${batch.results.size} " +
+                        "fence=${written.fence}"
                 }
+                if (written.fence > fence) leave(batch)
             } finally {
                 committing -= batch.id
                 dispatcher.wake()
@@ -148,6 +165,14 @@
         }
     }
 
+    /** Leaves [batch] to a later coordinator. */
+    private fun leave(batch: BatchState) {
+        log.info { "batch left to a later coordinator: batch=${batch.id} own_fence=$fence fence=${batch.lastFence}" }
+        batches.remove(batch.id)
+        batch.end()
+        batch.items.forEach(dispatcher::cancel)
+    }
+
     private companion object {
         /** Timed work (giving up, late commits, moves) is looked at this often; all else wakes the runner. */
         const val STEP_EVERY_MS = 100L
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
@@ -83,6 +83,10 @@
     var nextChunk = 0
         private set
 
+    /** Fencing number of the coordinator whose chunk is the last one known; null before the first. */
+    var lastFence: Long? = null
+        private set
+
     /** Results that readers may see; their positions are fixed by the store. */
     val results: List<ItemResult> get() = listed
 
@@ -123,6 +127,7 @@
     /** Takes in a chunk that is in the store, whoever wrote it. */
     fun list(chunk: ResultChunk) {
         nextChunk++
+        lastFence = chunk.fence
         chunk.results.forEach { result ->
             val item = byId[result.item]
             if (item == null || item.phase == ItemPhase.LISTED) return@forEach
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchStore.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchStore.kt
@@ -84,6 +84,22 @@
         }
     }
 
+    /**
+     * Ends what coordinators with a lower number than [fence] may still list, by an empty chunk behind [known] ones;
+     * returns all chunks up to that one, or up to one of a later coordinator.
+     */
+    suspend fun seal(
+        id: BatchId,
+        known: List<ResultChunk>,
+        fence: Long,
+    ): List<ResultChunk> {
+        val chunks = known.toMutableList()
+        while ((chunks.lastOrNull()?.fence ?: -1) < fence) {
+            chunks += append(id, chunks.size, ResultChunk(emptyList(), fence))
+        }
+        return chunks
+    }
+
     /** Marks the batch as ended. Returns false if there is no such batch. */
     suspend fun end(
         id: BatchId,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
@@ -29,8 +29,8 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Starts the coordinator's work in a scope that ends with it. */
-typealias BeginTerm = (CoroutineScope) -> Unit
+/** Starts the coordinator's work in a scope that ends with it; each term has a higher fencing number. */
+typealias BeginTerm = (scope: CoroutineScope, fencingNumber: Long) -> Unit
 
 /** Contender on one VM. */
 class Coordinator(
@@ -142,7 +142,7 @@
         log.info { "coordinator begins: fence=$fencingNumber" }
         val fresh = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job))
         term = fresh
-        beginTerm(fresh)
+        beginTerm(fresh, fencingNumber)
         announce()
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Term.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Term.kt
@@ -119,6 +119,8 @@
         val batch = runner[call.batch] ?: return readEnded(call)
         if (batch.record.organisation != call.organisation) return PeerReply.Unknown
         runner.awaitResult(batch, call.after, call.waitMs)
+        // It may have ended meanwhile, or have been left to a later coordinator, which knows more.
+        if (runner[call.batch] == null) return readEnded(call)
         return PeerReply.Page(batch.page(call.after, BatchDesk.MOST_PAGE_BYTES))
     }
 
@@ -182,7 +184,7 @@
             if (isNew) return runner.adopt(batch, emptyList())
             while (runner[batch.id] == null) {
                 val chunks = store.results(batch.id)
-                if (chunks.isOk) return runner.adopt(batch, chunks.value)
+                if (chunks.isOk) return runner.takeOver(batch, chunks.value)
                 delay(RETRY_MS)
             }
         } finally {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorWork.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorWork.kt
@@ -66,11 +66,14 @@
     private var dispatcher: ItemDispatcher? = null
     private var weights: WeightDuty? = null
 
-    /** Starts a term; it ends with [scope]. */
-    fun begin(scope: CoroutineScope) {
+    /** Starts the term of [fencingNumber]; it ends with [scope]. */
+    fun begin(
+        scope: CoroutineScope,
+        fencingNumber: Long,
+    ) {
         val keeper = weightDuty(scope)
         val runs = itemDispatcher(scope, keeper)
-        val batches = batchRunner(scope, runs)
+        val batches = batchRunner(scope, fencingNumber, runs)
         dispatcher = runs
         val current = Term(batches, parts.batchStore, parts.call, parts.ports.emptiedStatus, trueTimeMs)
         runner = batches
@@ -110,9 +113,11 @@
 
     private fun batchRunner(
         scope: CoroutineScope,
+        fencingNumber: Long,
         runs: ItemDispatcher,
     ) = BatchRunner(
         scope = scope,
+        fence = fencingNumber,
         store = parts.batchStore,
         dispatcher = runs,
         earlier = earlier,
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchSchedulesTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchSchedulesTest.kt
@@ -1,6 +1,7 @@
 package io.guavashore.edge.batches
 
 import io.guavashore.api.OrganisationId
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
@@ -67,6 +68,36 @@
             assertEquals(record.itemIds.toSet(), readers.maxBy { it.size }.toSet(), "seed $seed")
         }
 
+    @Test
+    fun `who takes a batch over knows all that is ever listed, in ten thousand schedules`() =
+        schedules { seed, random, store ->
+            val batchStore = BatchStore(store::call) { currentTime }
+            val first = BatchState(id, record, revision = 1)
+            val second = BatchState(id, record, revision = 1)
+            val earlier = launch { listAll(first, first.items.shuffled(random), batchStore, fence = 1) }
+            delay(random.nextLong(TAKEOVER_BY_MS))
+            batchStore.seal(id, knownChunks(batchStore), fence = 2).forEach(second::list)
+            listAll(
+                second,
+                second.items.shuffled(random).take(random.nextInt(record.items.size + 1)),
+                batchStore,
+                fence = 2,
+            )
+            val known = second.results.toList()
+            earlier.join()
+            store.settle()
+            val reader = BatchState(id, record, revision = 1)
+            knownChunks(batchStore).forEach(reader::list)
+            assertEquals(known, reader.results, "seed $seed")
+        }
+
+    private suspend fun knownChunks(store: BatchStore): List<ResultChunk> {
+        while (true) {
+            val chunks = store.results(id)
+            if (chunks.isOk) return chunks.value
+        }
+    }
+
     @Test
     fun `an end that was acknowledged is in the store, in ten thousand schedules`() =
         schedules { seed, _, store ->
@@ -85,11 +116,12 @@
         state: BatchState,
         order: List<ItemState>,
         store: BatchStore,
+        fence: Long = 0,
     ) = order.forEach { item ->
         if (item.phase == ItemPhase.LISTED) return@forEach
         state.settle(item, ItemOutcome.COMPLETED, nowMs = 0)
-        while (item.phase != ItemPhase.LISTED) {
-            val chunk = ResultChunk(listOfNotNull(item.result))
+        while (item.phase != ItemPhase.LISTED && (state.lastFence ?: 0) <= fence) {
+            val chunk = ResultChunk(listOfNotNull(item.result), fence)
             state.list(store.append(id, state.nextChunk, chunk))
         }
     }
@@ -97,5 +129,8 @@
     private companion object {
         const val SCHEDULES = 10_000
         const val READS = 20
+
+        /** The first runner lists its items in about this time. */
+        const val TAKEOVER_BY_MS = 400L
     }
 }
