A test for a VM's entry that can't be read

Cause: the reader of entries was taken out of EdgeProcess with a logged null for unreadable ones, without a test. Ruled out: -. Change: RegistrationTest gets the case. Conclusion: bad input is passed over, as said.

--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/catalog/RegistrationTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/catalog/RegistrationTest.kt
@@ -17,6 +17,7 @@
 import kotlinx.serialization.json.Json
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNull
 
 class RegistrationTest {
     private val vms = Collection("vms")
@@ -53,6 +54,9 @@
         assertEquals(listOf("Create", "Replace"), calls)
     }
 
+    @Test
+    fun `an entry that can't be read names no VM`() = assertNull(readVmCard("""{"vm":7}"""))
+
     @Test
     fun `a new VM is listed, also where nothing can be known of the others`() {
         register()
