--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchRunner.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchRunner.kt
@@ -83,8 +83,7 @@
 
     /** Stops the work of a batch whose end was asked for. */
     fun end(id: BatchId) {
-        val batch = batches.remove(id) ?: return
-        batch.end()
+        val batch = batches[id] ?: return
         // Otherwise an earlier coordinator may have listed more than is known here; readers then ask the store.
         if (batch.lastFence == fence) ended.keep(batch)
         earlier.drop(batch)
@@ -93,8 +92,7 @@
             "batch ended: batch=$id listed=${batch.results.size} of=${batch.items.size} " +
                 "running=${batch.items.count { it.phase == ItemPhase.RUNNING }}"
         }
-        batch.items.forEach(dispatcher::cancel)
-        dispatcher.wake()
+        stop(batch)
     }
 
     /** Waits up to [waitMs] until the batch has a result at [after]. */
@@ -168,9 +166,14 @@
     /** Leaves [batch] to a later coordinator. */
     private fun leave(batch: BatchState) {
         log.info { "batch left to a later coordinator: batch=${batch.id} own_fence=$fence fence=${batch.lastFence}" }
+        stop(batch)
+    }
+
+    private fun stop(batch: BatchState) {
         batches.remove(batch.id)
         batch.end()
         batch.items.forEach(dispatcher::cancel)
+        dispatcher.wake()
     }
 
     private companion object {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
@@ -31,8 +31,25 @@
     val isUsable: Boolean,
     val isLoading: Boolean = false,
 ) {
+    private val heldTokens = runs.sumOf { it.heldTokens }
+    private val endTokens = runs.sumOf { it.endTokens }
+
     val running: Int get() = runs.size
     val hasRoom: Boolean get() = isUsable && running < slots
+
+    /**
+     * True if the peak of all runs, [next] among them, fits into [limitTokens]. It lies between what they hold now and
+     * the sum of their ends, which mostly decides; each waiting item is tried on each engine.
+     */
+    internal fun fits(
+        next: RunEstimate,
+        limitTokens: Double,
+    ): Boolean =
+        when {
+            endTokens + next.endTokens <= limitTokens -> true
+            heldTokens + next.heldTokens > limitTokens -> false
+            else -> peakTokens(runs + next) <= limitTokens
+        }
 }
 
 /** Item as the dispatcher sees it. */
@@ -131,20 +148,21 @@
     engines: kotlin.collections.Collection<EngineView>,
     terms: PlacementTerms,
 ): EngineView? {
-    val able = engines.filter { it.canTake(demand, terms) }
+    val next = demand.item.estimate(terms)
+    val able = engines.filter { it.canTake(demand, next, terms) }
     val preferred = able.filter { it.id !in demand.item.avoid }.ifEmpty { able }
     return preferred.minByOrNull { it.costMs(demand, terms) }
 }
 
 private fun EngineView.canTake(
     demand: ItemDemand,
+    next: RunEstimate,
     terms: PlacementTerms,
 ): Boolean {
     if (!hasRoom || service != demand.service) return false
     val version = demand.model?.let { versions[it] }
     if (demand.model != null && (version == null || version < demand.item.batch.record.leastVersion)) return false
-    if (running == 0 || memoryTokens == 0) return true
-    return peakTokens(runs + demand.item.estimate(terms)) <= memoryTokens * terms.memoryShare
+    return running == 0 || memoryTokens == 0 || fits(next, memoryTokens * terms.memoryShare)
 }
 
 private fun EngineView.costMs(
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/RunEstimate.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/RunEstimate.kt
@@ -16,7 +16,10 @@
 data class RunEstimate(
     val heldTokens: Int,
     val leftTokens: Int,
-)
+) {
+    /** What it takes at its end. */
+    val endTokens: Int get() = heldTokens + leftTokens
+}
 
 /**
  * Most memory that [runs] take together at one moment if each makes tokens at the same pace, in tokens. The peak comes
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/CatalogSync.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/CatalogSync.kt
@@ -67,15 +67,6 @@
         }
     }
 
-    /** Waits until the collection is known from peers, or it is for this VM to list it. */
-    private suspend fun awaitPeers(collection: Collection) {
-        repeat((PEERS_MS / PEERS_LOOK_MS).toInt()) { look ->
-            val mayList = look * PEERS_LOOK_MS >= FIRST_PULSES_MS && rank() < WATCHERS
-            if (mayList || catalog.isKnown(collection)) return
-            delay(PEERS_LOOK_MS)
-        }
-    }
-
     fun onNews(news: PeerMessage.News) = applied(news.collection, news.changes, news.completeTo, tellPeers = false)
 
     fun onNewsWanted(wanted: PeerMessage.NewsWanted) =
@@ -97,6 +88,15 @@
             }
     }
 
+    /** Waits until the collection is known from peers, or it is for this VM to list it. */
+    private suspend fun awaitPeers(collection: Collection) {
+        repeat((PEERS_MS / PEERS_LOOK_MS).toInt()) { look ->
+            val mayList = look * PEERS_LOOK_MS >= FIRST_PULSES_MS && rank() < WATCHERS
+            if (mayList || catalog.isKnown(collection)) return
+            delay(PEERS_LOOK_MS)
+        }
+    }
+
     private fun lacks(
         collection: Collection,
         newest: Long,
