Workers that leave by their own word; answers and streams without end

(2) Bytes that are no answer were read without bound: empty lines before a head and interim answers were passed over for ever, also on idle connections; EventReader kept all that has no empty line and read it again with each part; whole answers were bounded one by one, not together; the silence of a stream was measured from its last byte, so a worker that sends a comment or half an event now and then held its item and its slot without end.

Ruled out: reading the leaving mark where answers are used (five places); a timeout of its own for heads (the callers' time limits stand already, what lacked was a bound on bytes).

Change: each target's connection reports the head of every answer before anyone acts on it; the directory leaves such a target out until its entry names another start or is removed, and peers hear of it at once. Connections count bytes that make no message, interim answers, and what all answers of the process hold together (the largest holder is turned away first). EventReader looks at each byte once and gives up an event at 128 KiB. Silence counts from the last event; a resumable stream's last allowed run is waited for until the deadline, so that a slow but sound stream is not cut. An answer that the target does not vouch for counts against it and its body is not read; what says "not run" holds whatever follows its head.

Conclusion: the forms named are bounded; a slow caller that does not read a large whole answer still holds it.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -10,6 +10,7 @@
 import io.guavashore.edge.targets.EventReader
 import io.guavashore.edge.targets.PassOn
 import io.guavashore.edge.targets.StreamEvent
+import io.guavashore.edge.targets.StreamSilence
 import io.guavashore.edge.targets.TargetConnections
 import io.guavashore.edge.targets.TargetDirectory
 import io.guavashore.edge.targets.TargetProtocol
@@ -96,7 +97,7 @@
         facts: AnswerFacts,
         connection: HttpConnection,
     ): RunOutcome {
-        withTimeoutOrNull(FIRST_ANSWER_MS) { connection.wholeBody(MOST_ERROR_BYTES) }
+        withTimeoutOrNull(FIRST_ANSWER_MS) { connection.discardBody(MOST_ERROR_BYTES) }
         return when {
             facts.notRun || head.status == MISDIRECTED ->
                 RunOutcome.NotRun("status ${head.status}", wasOffered = true)
@@ -113,16 +114,20 @@
         versionAtStart: Long?,
     ): RunOutcome {
         val run = EventRun(item, engine, versionAtStart)
+        val silence = StreamSilence(clock)
         while (true) {
-            val silenceMs = pace.longestSilenceMs(engine.id)
-            val part =
-                connection.nextPartWithin(silenceMs)
-                    ?: return RunOutcome.Broken("no event in $silenceMs ms")
+            val longestMs = pace.longestSilenceMs(engine.id)
+            val part = connection.nextPartWithin(silence.waitMs(longestMs)) ?: return silent(longestMs)
+            val known = item.progress.size
             val problem = run.take(part.bytes ?: return run.end())
             if (problem != null) return problem
+            if (item.progress.size > known) silence.heard()
+            if (silence.isLonger(longestMs)) return silent(longestMs)
         }
     }
 
+    private fun silent(longestMs: Long) = RunOutcome.Broken("no event in $longestMs ms")
+
     /** Events of one run. A run that goes on after the last event has nothing to make, and names no version. */
     private inner class EventRun(
         private val item: ItemState,
@@ -143,6 +148,7 @@
             }
 
         private fun take(event: StreamEvent): RunOutcome? {
+            if (event.isComment) return null
             version = event.lines.firstNotNullOfOrNull(protocol.eventVersion) ?: version
             val made = version ?: return RunOutcome.Broken("no version of the weights")
             item.batch.record.model
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -13,7 +13,6 @@
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.front.CallFacts
 import io.guavashore.edge.front.CallerProtocol
-import io.guavashore.edge.targets.AnswerFacts
 import io.guavashore.edge.targets.PassOn
 import io.guavashore.edge.targets.TargetConnections
 import io.guavashore.edge.targets.TargetDirectory
@@ -67,7 +66,7 @@
     metrics: Metrics,
     private val clock: MonotonicClock,
 ) {
-    private val streams = StreamForwarder(targets)
+    private val streams = StreamForwarder(targets, clock)
     private val answers = FinalAnswers(callers, metrics)
 
     suspend fun forward(call: ForwardedCall) {
@@ -170,15 +169,15 @@
         val head = connection.head()
         val facts = targets.facts(head)
         facts.load?.let { loads.reported(target.id, it, clock()) }
-        if (facts.requestId != null && facts.requestId != call.facts.requestId) return foreign(connection)
+        if (facts.requestId != null && facts.requestId != call.facts.requestId) return foreign(call, target, connection)
         if (facts.notRun || head.status == MISDIRECTED) return notRun(target, head, connection)
         countBegin(call)
-        if (!facts.isGenuine && head.status < FIRST_ERROR) return foreign(connection)
+        if (!facts.isGenuine) return foreign(call, target, connection)
         val isStream = call.route.kind == RouteKind.STREAMING && head.status < FIRST_ERROR
         return when {
             isStream -> passStream(call, head, connection)
-            call.exchange.hasBegun -> foreign(connection)
-            else -> passWhole(call, target, head, facts, connection)
+            call.exchange.hasBegun -> foreign(call, target, connection)
+            else -> passWhole(call, target, head, connection)
         }
     }
 
@@ -196,7 +195,6 @@
         call: ForwardedCall,
         target: TargetEntry,
         head: AnswerHead,
-        facts: AnswerFacts,
         connection: HttpConnection,
     ): AttemptEnd? {
         val body = connection.wholeBody(MOST_WHOLE_BYTES)
@@ -205,7 +203,6 @@
             directory.failed(target.id)
             return AttemptEnd.UNCERTAIN
         }
-        if (!facts.isGenuine) return AttemptEnd.UNCERTAIN
         directory.worked(target.id)
         call.wasServed = true
         call.exchange.respond(HttpAnswer(head.status, targets.answerHeaders(head), body))
@@ -218,12 +215,19 @@
         head: AnswerHead,
         connection: HttpConnection,
     ): AttemptEnd {
-        connection.wholeBody(MOST_WHOLE_BYTES)
+        connection.discardBody(MOST_ERROR_BYTES)
         if (head.status == MISDIRECTED) directory.failed(target.id)
         return AttemptEnd.NOT_RUN
     }
 
-    private fun foreign(connection: HttpConnection): AttemptEnd {
+    /** The answer is not the target's own to this request, and may have no end. */
+    private fun foreign(
+        call: ForwardedCall,
+        target: TargetEntry,
+        connection: HttpConnection,
+    ): AttemptEnd {
+        log.info { "answer of no use: request=${call.facts.requestId} target=${target.id}" }
+        directory.failed(target.id)
         connection.close()
         return AttemptEnd.UNCERTAIN
     }
@@ -252,6 +256,7 @@
 
         /** Answers up to this size are held until they are complete, so that a cut one can be asked for again. */
         const val MOST_WHOLE_BYTES = 8_000_000
+        const val MOST_ERROR_BYTES = 65_536
 
         /** A full target frees a slot within about one piece of work. */
         const val FULL_RETRY_AFTER_MS = 60L
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
@@ -7,11 +7,12 @@
 package io.guavashore.edge.forward
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.MonotonicClock
 import io.guavashore.edge.targets.EventReader
 import io.guavashore.edge.targets.StreamEvent
+import io.guavashore.edge.targets.StreamSilence
 import io.guavashore.edge.targets.TargetProtocol
 import io.guavashore.net.AnswerHead
-import io.guavashore.net.BodyPart
 import io.guavashore.net.HttpConnection
 
 private val log = KotlinLogging.logger {}
@@ -24,6 +25,7 @@
 
 internal class StreamForwarder(
     private val targets: TargetProtocol,
+    private val clock: MonotonicClock,
 ) {
     /**
      * Forwards whole events only. Returns null once the caller has the whole stream; a stream that breaks is resumed
@@ -42,26 +44,30 @@
             call.stream.weightVersion = version
         }
         val reader = EventReader()
+        val silence = StreamSilence(clock)
+        val longestMs = longestSilenceMs(call)
         while (true) {
-            val part = nextPart(call, connection) ?: return broken(call, "no event in $LONGEST_SILENCE_MS ms")
+            val part = connection.nextPartWithin(silence.waitMs(longestMs)) ?: return silent(call, longestMs)
             val events = reader.take(part.bytes ?: break)
             if (!events.all { pass(call, it) }) return broken(call, "event out of order")
+            if (events.any { !it.isComment }) silence.heard()
+            if (silence.isLonger(longestMs)) return silent(call, longestMs)
         }
         if (!reader.isBetweenEvents) return broken(call, "ended within an event")
         call.exchange.finish()
         return null
     }
 
-    /** The next bytes, or null if a stream that can go on elsewhere has been silent for too long. */
-    private suspend fun nextPart(
+    /** A stream that can go on elsewhere is not waited for; one that can't has until its call's deadline. */
+    private fun longestSilenceMs(call: ForwardedCall): Long {
+        val isLastRun = call.attempts.mayHaveRun + 1 >= call.route.maxAttempts
+        return if (call.route.isResumable && !isLastRun) LONGEST_SILENCE_MS else maxOf(0, call.deadlineMs - clock())
+    }
+
+    private fun silent(
         call: ForwardedCall,
-        connection: HttpConnection,
-    ): BodyPart? =
-        if (call.route.isResumable) {
-            connection.nextPartWithin(LONGEST_SILENCE_MS)
-        } else {
-            BodyPart(connection.nextPart())
-        }
+        longestMs: Long,
+    ) = broken(call, "no event in $longestMs ms")
 
     /** False for an event that does not follow the last one. */
     private suspend fun pass(
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
@@ -51,6 +51,8 @@
 
     fun onTexts(texts: PeerMessage.Texts)
 
+    fun onTargetLeaves(leaves: PeerMessage.TargetLeaves)
+
     /** Answers a call of a peer. */
     suspend fun onCall(call: PeerCall): PeerReply
 }
@@ -157,6 +159,7 @@
             is PeerMessage.News -> events.onNews(message)
             is PeerMessage.NewsWanted -> connection.send(encode(events.onNewsWanted(message)))
             is PeerMessage.Texts -> events.onTexts(message)
+            is PeerMessage.TargetLeaves -> events.onTargetLeaves(message)
             is PeerMessage.Call -> loop.scope.launch { answer(connection, message) }
             is PeerMessage.Reply -> linkOf(connection)?.onReply(message)
         }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
@@ -5,6 +5,7 @@
 
 import io.guavashore.api.Incarnation
 import io.guavashore.api.OrganisationId
+import io.guavashore.api.TargetId
 import io.guavashore.api.VmId
 import io.guavashore.api.ZoneId
 import io.guavashore.edge.batches.BatchId
@@ -106,6 +107,14 @@
         val parts: List<TextPart>,
     ) : PeerMessage
 
+    /** A target said in an answer that it leaves; [bornAtMs] names its process. */
+    @Serializable
+    @SerialName("l")
+    data class TargetLeaves(
+        val target: TargetId,
+        val bornAtMs: Long?,
+    ) : PeerMessage
+
     @Serializable
     @SerialName("c")
     data class Call(
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -5,6 +5,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
+import io.guavashore.api.TargetId
 import io.guavashore.api.VmId
 import io.guavashore.api.WallClock
 import io.guavashore.api.systemMonotonicClock
@@ -38,6 +39,7 @@
 import io.guavashore.edge.targets.TargetConnections
 import io.guavashore.edge.targets.TargetDirectory
 import io.guavashore.metrics.Metrics
+import io.guavashore.net.AnswerHead
 import io.guavashore.net.CallerLimits
 import io.guavashore.net.HttpAnswer
 import io.guavashore.net.HttpDialer
@@ -78,7 +80,7 @@
     private val beliefs = Beliefs(ports, directory)
     private val sync: CatalogSync =
         CatalogSync(card.vm, catalog, store::call, mesh::alive, mesh::broadcast, ::onChanges, clock, store::endWatches)
-    private val connections = TargetConnections(HttpDialer(loop))
+    private val connections = TargetConnections(HttpDialer(loop), onAnswer = ::onAnswer)
     private val loads = TargetLoads()
     private val batchStore = BatchStore(store::call, clock)
     private val work =
@@ -187,6 +189,21 @@
 
     override fun onTexts(texts: PeerMessage.Texts) = work.keepTexts(texts.parts)
 
+    override fun onTargetLeaves(leaves: PeerMessage.TargetLeaves) {
+        if (directory.saysLeaving(leaves.target, leaves.bornAtMs)) work.onBeliefsChanged()
+    }
+
+    private fun onAnswer(
+        target: TargetId,
+        head: AnswerHead,
+    ) {
+        if (!ports.targets.saysLeaving(head)) return
+        val bornAtMs = directory.bornAtMs(target)
+        if (!directory.saysLeaving(target, bornAtMs)) return
+        mesh.broadcast(PeerMessage.TargetLeaves(target, bornAtMs))
+        work.onBeliefsChanged()
+    }
+
     private fun sendTexts(
         copies: TextCopies,
         items: List<ItemState>,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EventReader.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EventReader.kt
@@ -1,10 +1,13 @@
 /*
- * Reads a stream of server-sent events.
+ * Reads a stream of server-sent events. Each byte is looked at once, however the stream is cut into parts, and an event
+ * that does not end is held up to a bound.
  */
 package io.guavashore.edge.targets
 
+import io.guavashore.net.ExchangeFailure
+
 /**
- * One event.
+ * One event, or lines of comment between events.
  *
  * @property raw bytes of the event with the empty line that ends it
  * @property id its number, or null
@@ -15,41 +18,57 @@
     val id: Long?,
     val data: String,
     val lines: List<String>,
-)
+) {
+    /** True if the stream has nothing to say with it. */
+    val isComment: Boolean get() = lines.all { it.startsWith(':') }
+}
 
-/** Cuts events out of the bytes of a stream; what is left at its end is no event. */
-class EventReader {
-    private var pending = EMPTY
+/** Cuts events of at most [mostBytes] out of the bytes of a stream; what is left at its end is no event. */
+class EventReader(
+    private val mostBytes: Int = MOST_EVENT_BYTES,
+) {
+    private var buffer = EMPTY
+    private var size = 0
+
+    /** Position up to which no event ends. */
+    private var scanned = 0
+    private var lineStart = 0
 
     /** True if the stream stands between two events. */
-    val isBetweenEvents: Boolean get() = pending.isEmpty()
+    val isBetweenEvents: Boolean get() = size == 0
 
-    /** Takes the next bytes; returns the events that they complete. */
+    /** Takes the next bytes; returns the events that they complete. Fails with [ExchangeFailure] if one is too long. */
     fun take(bytes: ByteArray): List<StreamEvent> {
-        pending = if (pending.isEmpty()) bytes else pending + bytes
+        append(bytes)
         val events = ArrayList<StreamEvent>()
         var start = 0
-        while (true) {
-            val end = endOfEvent(start)
-            if (end < 0) break
-            events += parse(pending.copyOfRange(start, end))
-            start = end
+        while (scanned < size) {
+            if (buffer[scanned++] != LINE_FEED) continue
+            val length = scanned - 1 - lineStart
+            val isEmpty = length == 0 || (length == 1 && buffer[lineStart] == CARRIAGE_RETURN)
+            lineStart = scanned
+            if (!isEmpty) continue
+            events += parse(buffer.copyOfRange(start, scanned))
+            start = scanned
         }
-        if (start > 0) pending = pending.copyOfRange(start, pending.size)
+        drop(start)
+        if (size > mostBytes) throw ExchangeFailure.Broken("event longer than $mostBytes bytes")
         return events
     }
 
-    /** Position after the empty line that ends the event which begins at [start], or -1. */
-    private fun endOfEvent(start: Int): Int {
-        var lineStart = start
-        for (position in start until pending.size) {
-            if (pending[position] != LINE_FEED) continue
-            val length = position - lineStart
-            val isEmpty = length == 0 || (length == 1 && pending[lineStart] == CARRIAGE_RETURN)
-            if (isEmpty) return position + 1
-            lineStart = position + 1
-        }
-        return -1
+    private fun append(bytes: ByteArray) {
+        if (size + bytes.size > buffer.size) buffer = buffer.copyOf(maxOf(size + bytes.size, buffer.size * 2))
+        bytes.copyInto(buffer, size)
+        size += bytes.size
+    }
+
+    /** Forgets the first [count] bytes. */
+    private fun drop(count: Int) {
+        if (count == 0) return
+        buffer = if (count == size) EMPTY else buffer.copyOfRange(count, size)
+        size -= count
+        scanned -= count
+        lineStart -= count
     }
 
     private fun parse(raw: ByteArray): StreamEvent {
@@ -77,5 +96,8 @@
         val EMPTY = ByteArray(0)
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
+
+        /** An event holds the text of some tokens. All slots of thirty engines together then hold 47 MB at most. */
+        const val MOST_EVENT_BYTES = 131_072
     }
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnections.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnections.kt
@@ -5,6 +5,7 @@
 
 import io.guavashore.api.TargetId
 import io.guavashore.edge.declared.TargetEntry
+import io.guavashore.net.AnswerHead
 import io.guavashore.net.HttpConnection
 import io.guavashore.net.HttpDialer
 
@@ -13,6 +14,8 @@
     private val dialer: HttpDialer,
     /** A link between zones answers within a few milliseconds; a dropped opening packet is sent again after 1 s. */
     private val connectTimeoutMs: Long = 400,
+    /** Hears of the head of each answer, whatever it answers, before anyone acts on it. */
+    private val onAnswer: (TargetId, AnswerHead) -> Unit = { _, _ -> },
 ) {
     private val idle = HashMap<TargetId, ArrayDeque<HttpConnection>>()
 
@@ -33,7 +36,9 @@
             if (connection.isReusable(now)) return connection
             connection.close()
         }
-        return dialer.connect(target.endpoint, connectTimeoutMs)
+        val connection = dialer.connect(target.endpoint, connectTimeoutMs)
+        connection.onHead = { onAnswer(target.id, it) }
+        return connection
     }
 
     /** Keeps [connection] if its last answer is complete, else closes it. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
@@ -30,6 +30,9 @@
     private val fadingUntilMs = HashMap<TargetId, Long>()
     private val suspectUntilMs = HashMap<TargetId, Long>()
     private val failures = HashMap<TargetId, Int>()
+
+    /** Start of the process that said in an answer that it leaves; null if its entry names none. */
+    private val leaving = HashMap<TargetId, Long?>()
     private val shownVersions = HashMap<TargetId, MutableMap<ModelId, Long>>()
 
     /** Applies a change of the directory; true if it changed what may be used. */
@@ -43,6 +46,7 @@
         }
         val known = entries[id]
         if (known?.bornAtMs != entry.bornAtMs) shownVersions.remove(id)
+        if (id in leaving && leaving[id] != entry.bornAtMs) leaving.remove(id)
         if (known == null || known.isLeaving != entry.isLeaving) {
             log.info {
                 "target listed: target=$id service=${entry.service} at=${entry.endpoint} zone=${entry.zone} " +
@@ -61,7 +65,25 @@
     /** All targets that may be sent requests. */
     fun usable(): List<TargetEntry> {
         dropFaded()
-        return entries.values.filterNot { it.isLeaving }
+        return entries.values.filterNot { it.isLeaving || it.id in leaving }
+    }
+
+    /** Start of the process at [id] as its entry names it. */
+    fun bornAtMs(id: TargetId): Long? = entries[id]?.bornAtMs
+
+    /**
+     * The process at [id] that started at [bornAtMs] has said that it leaves, and is sent no more requests until
+     * another one takes its place. True if that was not known.
+     */
+    fun saysLeaving(
+        id: TargetId,
+        bornAtMs: Long?,
+    ): Boolean {
+        val listed = entries[id]
+        if (id in leaving || (listed != null && listed.bornAtMs != bornAtMs)) return false
+        leaving[id] = bornAtMs
+        log.info { "target leaves by its own word: target=$id born_ms=$bornAtMs" }
+        return true
     }
 
     fun all(): Collection<TargetEntry> = entries.values
@@ -102,7 +124,7 @@
 
     private fun remove(id: TargetId): Boolean {
         val known = entries[id] ?: return false
-        if (storeWasAway() && !known.isLeaving) {
+        if (storeWasAway() && !known.isLeaving && id !in leaving) {
             fadingUntilMs[id] = clock() + GRACE_AFTER_OUTAGE_MS
             return false
         }
@@ -121,6 +143,7 @@
         fadingUntilMs.remove(id)
         suspectUntilMs.remove(id)
         failures.remove(id)
+        leaving.remove(id)
         shownVersions.remove(id)
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
@@ -27,7 +27,6 @@
  * @property requestId id of the request that it answers, if it says so
  * @property weightVersion version of the weights at the answer's beginning
  * @property load requests that run and wait there
- * @property isLeaving true if the target takes no more requests soon
  */
 data class AnswerFacts(
     val receipt: String?,
@@ -35,7 +34,6 @@
     val requestId: String?,
     val weightVersion: Long?,
     val load: ReportedLoad?,
-    val isLeaving: Boolean = false,
 ) {
     val isGenuine: Boolean get() = receipt != null
 }
@@ -69,6 +67,8 @@
     val itemRequest: (item: ItemSpec, host: String, terms: PassOn) -> HttpMessage,
     val scoreRequest: (scorer: ScorerSpec, terms: PassOn) -> HttpMessage,
     val facts: (AnswerHead) -> AnswerFacts,
+    /** True if an answer says that its target takes no more requests soon. */
+    val saysLeaving: (AnswerHead) -> Boolean,
     val answerHeaders: (AnswerHead) -> io.guavashore.net.Headers,
     val eventVersion: (line: String) -> Long?,
     val order: (target: TargetId, order: WeightOrder) -> HttpMessage,
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/targets/EventReaderTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/targets/EventReaderTest.kt
@@ -1,8 +1,10 @@
 package io.guavashore.edge.targets
 
+import io.guavashore.net.ExchangeFailure
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
@@ -22,6 +24,36 @@
         assertFalse(reader.isBetweenEvents)
     }
 
+    @Test
+    fun `lines of comment are no event`() {
+        val read = EventReader().take(": still here\n\nid: 1\ndata: a\n\n".encodeToByteArray())
+        assertEquals(listOf(true, false), read.map { it.isComment })
+    }
+
+    @Test
+    fun `an event without end is given up at its bound`() {
+        val reader = EventReader(mostBytes = 100_000)
+        val part = "data: ".encodeToByteArray() + ByteArray(994) { 'x'.code.toByte() }
+        assertFailsWith<ExchangeFailure.Broken> { repeat(101) { reader.take(part) } }
+    }
+
+    @Test
+    fun `an event of many small parts costs time in proportion to its bytes`() {
+        val oneMs = timeMs(100_000)
+        val tenMs = timeMs(1_000_000)
+        assertTrue(tenMs < 100 * maxOf(oneMs, 5), "100 kB: $oneMs ms, 1 MB: $tenMs ms")
+        assertTrue(tenMs < 3_000, "1 MB: $tenMs ms")
+    }
+
+    /** Time to read [bytes] bytes of one event, ten at a time, in milliseconds. */
+    private fun timeMs(bytes: Int): Long {
+        val reader = EventReader(mostBytes = bytes + 1)
+        val part = ByteArray(10) { 'x'.code.toByte() }
+        val fromNs = System.nanoTime()
+        repeat(bytes / part.size) { reader.take(part) }
+        return (System.nanoTime() - fromNs) / 1_000_000
+    }
+
     @Test
     fun `events come out the same wherever the bytes are cut, in a thousand ways`() {
         val text = (1..6).joinToString("") { "id: $it\ndata: d$it\r\ndata: é$it\n\n" }.encodeToByteArray()
--- /dev/null
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/targets/StreamSilenceTest.kt
@@ -0,0 +1,30 @@
+package io.guavashore.edge.targets
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class StreamSilenceTest {
+    private var nowMs = 0L
+    private val silence = StreamSilence { nowMs }
+
+    @Test
+    fun `is counted from the last event, whatever bytes came since`() {
+        nowMs = 900
+        assertEquals(300, silence.waitMs(1_200))
+        silence.heard()
+        nowMs = 2_100
+        assertFalse(silence.isLonger(1_200))
+        nowMs = 2_101
+        assertTrue(silence.isLonger(1_200))
+    }
+
+    @Test
+    fun `what arrived while the process stood still is read before the stream is judged`() {
+        nowMs = 5_000
+        assertEquals(1, silence.waitMs(1_200))
+        silence.heard()
+        assertFalse(silence.isLonger(1_200))
+    }
+}
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/CallerConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/CallerConnection.kt
@@ -109,7 +109,7 @@
             content.release()
             return refuse(TOO_LARGE)
         }
-        if (!server.tryHold(size)) {
+        if (!server.tryHold(size, body.size())) {
             content.release()
             return refuse(UNAVAILABLE)
         }
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -45,7 +45,9 @@
  * An answer whose length is marked by the end of the connection is complete only if the connection ended in order.
  * Bytes that arrive while no answer is expected close the connection, so they never reach a caller.
  */
-class HttpConnection internal constructor() : ChannelInboundHandlerAdapter() {
+class HttpConnection internal constructor(
+    private val heldAnswers: ByteBudget,
+) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
     private var answers: Mailbox<HttpObject>? = null
     private var brokenBy: String? = null
@@ -57,6 +59,13 @@
     private var endArrived = false
     private var endRead = false
     private var isInterim = false
+    private var interimAnswers = 0
+
+    /** Bytes that have arrived since the last message that was made of some. */
+    private var bytesWithoutMessage = 0
+
+    /** Hears of the head of each answer before [head] returns it. */
+    var onHead: (AnswerHead) -> Unit = {}
 
     /** True between the send of a request and the end of its answer. */
     var busy = false
@@ -82,7 +91,9 @@
         busy = true
         endArrived = false
         endRead = false
-        answers = Mailbox(UNLIMITED)
+        interimAnswers = 0
+        bytesWithoutMessage = 0
+        answers = Mailbox(UNLIMITED, onUndeliveredElement = ReferenceCountUtil::release)
         val headers = DefaultHttpHeaders(false)
         request.headers.forEach { (name, value) -> headers.add(name, value) }
         if (request.body.isNotEmpty() || request.method in METHODS_WITH_BODY) {
@@ -109,7 +120,7 @@
         }
         keepAlive = HttpUtil.isKeepAlive(next)
         keepAliveS = keepAliveSeconds(next.headers()["Keep-Alive"])
-        return AnswerHead(next.status().code(), Headers(next.headers().map { it.key to it.value }))
+        return AnswerHead(next.status().code(), Headers(next.headers().map { it.key to it.value })).also(onHead)
     }
 
     /** Next bytes of the body, or null at its complete end. */
@@ -136,13 +147,20 @@
         return HttpAnswer(head.status, head.headers, wholeBody(mostBytes))
     }
 
-    /** Reads the rest of the body; fails if it is longer than [mostBytes]. */
+    /** Reads the rest of the body; fails if it is longer than [mostBytes], or than the process can hold now. */
     suspend fun wholeBody(mostBytes: Int): ByteArray {
         val whole = ByteArrayOutputStream()
-        while (true) {
-            val part = nextPart() ?: return whole.toByteArray()
-            whole.write(part)
-            if (whole.size() > mostBytes) throw broken("body longer than $mostBytes bytes")
+        try {
+            while (true) {
+                val part = nextPart() ?: return whole.toByteArray()
+                if (whole.size() + part.size > mostBytes) throw broken("body longer than $mostBytes bytes")
+                if (!heldAnswers.tryHold(part.size, whole.size())) {
+                    throw broken("no room for ${whole.size() + part.size} bytes of one answer")
+                }
+                whole.write(part)
+            }
+        } finally {
+            heldAnswers.release(whole.size())
         }
     }
 
@@ -158,20 +176,33 @@
         }
     }
 
-    /** Closes the connection; a running request is dropped by its server. */
+    /** Closes the connection and drops what was not read of its answer; a running request is dropped by its server. */
     fun close() {
-        if (brokenBy == null) brokenBy = "closed here"
-        channel.close()
+        breakOff("closed here")
+        while (true) ReferenceCountUtil.release(answers?.tryReceive()?.getOrNull() ?: break)
     }
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         channel = ctx.channel()
     }
 
+    /** [bytes] have arrived and are about to be read as messages. */
+    internal fun arriving(bytes: Int) {
+        bytesWithoutMessage += bytes
+    }
+
+    /** What has arrived has been read as messages, as far as it makes some. */
+    internal fun arrived() {
+        if (bytesWithoutMessage == 0) return
+        if (answers == null || endArrived) return breakOff("bytes outside an answer")
+        if (bytesWithoutMessage > MOST_BYTES_WITHOUT_MESSAGE) breakOff("$bytesWithoutMessage bytes that are no answer")
+    }
+
     override fun channelRead(
         ctx: ChannelHandlerContext,
         msg: Any,
     ) {
+        bytesWithoutMessage = 0
         val waiting = answers.takeUnless { endArrived || brokenBy != null }
         if (msg !is HttpObject || waiting == null) {
             ReferenceCountUtil.release(msg)
@@ -182,7 +213,10 @@
             return breakOff("unreadable answer: ${msg.decoderResult().cause().message}")
         }
         if (msg is HttpContent) received(msg.content().readableBytes())
-        if (msg is HttpResponse) isInterim = msg.status().code() < FIRST_FINAL_STATUS
+        if (msg is HttpResponse) {
+            isInterim = msg.status().code() < FIRST_FINAL_STATUS
+            if (isInterim && ++interimAnswers > MOST_INTERIM_ANSWERS) return breakOff("interim answers without end")
+        }
         endArrived = msg is LastHttpContent && !isInterim
         waiting.trySend(msg)
     }
@@ -256,6 +290,12 @@
         /** Bytes of an answer held for a slow reader before reading pauses. */
         const val MOST_PENDING_BYTES = 262_144
 
+        /** Twice what the decoder takes for a head. */
+        const val MOST_BYTES_WITHOUT_MESSAGE = 16_384
+
+        /** Servers send one or two before an answer. */
+        const val MOST_INTERIM_ANSWERS = 20
+
         val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
     }
 }
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpServer.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpServer.kt
@@ -27,7 +27,7 @@
     private val handler: ExchangeHandler,
 ) {
     private val connections = HashSet<CallerConnection>()
-    private var bufferedBytes = 0L
+    private val heldBodies = ByteBudget(MOST_HELD_BYTES)
 
     /** Number of requests that have been read and not answered yet. */
     val activeRequests: Int get() = connections.count { it.isActive }
@@ -62,19 +62,16 @@
         connections -= connection
     }
 
-    /** Accounts for body bytes held in memory; false if the process holds too many already. */
-    internal fun tryHold(bytes: Int): Boolean {
-        if (bufferedBytes + bytes > MOST_BUFFERED_BYTES) return false
-        bufferedBytes += bytes
-        return true
-    }
+    /** Accounts for [bytes] more of a body of which [ownBytes] are held; false if the process holds too many already. */
+    internal fun tryHold(
+        bytes: Int,
+        ownBytes: Int,
+    ): Boolean = heldBodies.tryHold(bytes, ownBytes)
 
-    internal fun release(bytes: Int) {
-        bufferedBytes -= bytes
-    }
+    internal fun release(bytes: Int) = heldBodies.release(bytes)
 
     private companion object {
         /** Request bodies held at once; a quarter of the heap of the smallest VM. */
-        const val MOST_BUFFERED_BYTES = 24_000_000L
+        const val MOST_HELD_BYTES = 24_000_000L
     }
 }
