--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchStore.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchStore.kt
@@ -59,7 +59,7 @@
     /** Chunks of results in order. */
     suspend fun results(id: BatchId): Result<List<ResultChunk>, StoreFault> =
         call(StoreCall.ListAll(resultsOf(id)), LIST_TIMEOUT_MS).map { answer ->
-            (answer as StoreAnswer.Listing).entries.sortedBy { it.name }.map { json.decodeFromString(it.content) }
+            (answer as StoreAnswer.Listing).entries.sortedBy { it.name }.map(::decodeChunk)
         }
 
     /**
@@ -148,12 +148,21 @@
         number: Int,
         fault: StoreFault.Conflict,
     ): ResultChunk? {
-        fault.current?.let { return json.decodeFromString(it.content) }
+        fault.current?.let { return decodeChunk(it) }
         val answer = call(StoreCall.Read(resultsOf(id), chunkName(number)), READ_TIMEOUT_MS)
         if (answer.isErr) return null
-        return (answer.value as StoreAnswer.Entry).entry?.let { json.decodeFromString(it.content) }
+        return (answer.value as StoreAnswer.Entry).entry?.let(::decodeChunk)
     }
 
+    /** A chunk that can't be read is another writer's and lists nothing; its number stays taken. */
+    private fun decodeChunk(entry: StoredEntry): ResultChunk =
+        try {
+            json.decodeFromString(entry.content)
+        } catch (e: SerializationException) {
+            log.error { "results unreadable: chunk=${entry.name} revision=${entry.revision} cause=${e.message}" }
+            ResultChunk(emptyList())
+        }
+
     companion object {
         private val json = Json { ignoreUnknownKeys = true }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
@@ -64,7 +64,8 @@
             return null
         }
         val held = machine.heldAt(clock()) ?: return null
-        return DutyRight(card.vm.value, held.fencingNumber.value)
+        val number = held.fencingNumber.value
+        return DutyRight(card.vm.value, number, isHeld = { right()?.fencingNumber == number })
     }
 
     /** True while this VM does the coordinator's work. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/DutyPort.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/DutyPort.kt
@@ -7,10 +7,16 @@
 import io.guavashore.api.ServiceId
 import io.guavashore.api.ZoneId
 
-/** Under which right a call is made. */
-data class DutyRight(
+/**
+ * Under which right a call is made.
+ *
+ * @property isHeld false once the right has run out; asked at the moment of sending, since opening a connection takes
+ * time, and the process may have stood still meanwhile
+ */
+class DutyRight(
     val holder: String,
     val fencingNumber: Long,
+    val isHeld: () -> Boolean,
 )
 
 /** What came of a call. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/UsageDuty.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/UsageDuty.kt
@@ -11,8 +11,10 @@
 import io.guavashore.platform.StoreAnswer
 import io.guavashore.platform.StoreCall
 import io.guavashore.platform.StoreFault
+import io.guavashore.platform.StoredEntry
 import kotlinx.coroutines.delay
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 private val log = KotlinLogging.logger {}
@@ -70,15 +72,26 @@
             log.warn { "usage window not sealed yet: window=$window fault=${fault.message}" }
             return null
         }
-        return fault.current?.let { Json.decodeFromString<SealedUsage>(it.content) } ?: readSealed(window)
+        return fault.current?.let { decode(window, it) } ?: readSealed(window)
     }
 
     private suspend fun readSealed(window: Long): SealedUsage? {
         val outcome = call(StoreCall.Read(USAGE_WINDOWS, window.toString()), STORE_TIMEOUT_MS)
         if (outcome.isErr) return null
-        return (outcome.value as StoreAnswer.Entry).entry?.let { Json.decodeFromString<SealedUsage>(it.content) }
+        return (outcome.value as StoreAnswer.Entry).entry?.let { decode(window, it) }
     }
 
+    private fun decode(
+        window: Long,
+        entry: StoredEntry,
+    ): SealedUsage? =
+        try {
+            Json.decodeFromString<SealedUsage>(entry.content)
+        } catch (e: SerializationException) {
+            log.error { "sealed usage unreadable: window=$window revision=${entry.revision} cause=${e.message}" }
+            null
+        }
+
     /** Sealed windows that nobody will send again are of no use. */
     private suspend fun dropOld() {
         val outcome = call(StoreCall.ListAll(USAGE_WINDOWS), STORE_TIMEOUT_MS)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/FinalAnswers.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/FinalAnswers.kt
@@ -11,7 +11,7 @@
 private val log = KotlinLogging.logger {}
 
 /** Ends calls, and counts how calls ended. */
-internal class FinalAnswers(
+class FinalAnswers(
     private val callers: CallerProtocol,
     private val metrics: Metrics,
 ) {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -12,12 +12,10 @@
 import io.guavashore.edge.declared.RouteKind
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.front.CallFacts
-import io.guavashore.edge.front.CallerProtocol
 import io.guavashore.edge.targets.PassOn
 import io.guavashore.edge.targets.TargetConnections
 import io.guavashore.edge.targets.TargetDirectory
 import io.guavashore.edge.targets.TargetProtocol
-import io.guavashore.metrics.Metrics
 import io.guavashore.net.AnswerHead
 import io.guavashore.net.ExchangeFailure
 import io.guavashore.net.HttpAnswer
@@ -60,14 +58,12 @@
     private val connections: TargetConnections,
     private val loads: TargetLoads,
     private val targets: TargetProtocol,
-    callers: CallerProtocol,
+    private val answers: FinalAnswers,
     private val poison: PoisonList,
     private val countUse: CountUse,
-    metrics: Metrics,
     private val clock: MonotonicClock,
 ) {
     private val streams = StreamForwarder(targets, clock)
-    private val answers = FinalAnswers(callers, metrics)
 
     suspend fun forward(call: ForwardedCall) {
         val fingerprint = poison.fingerprint(call)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
@@ -43,6 +43,13 @@
             call.exchange.begin(AnswerHead(head.status, targets.answerHeaders(head)))
             call.stream.weightVersion = version
         }
+        return passEvents(call, connection)
+    }
+
+    private suspend fun passEvents(
+        call: ForwardedCall,
+        connection: HttpConnection,
+    ): AttemptEnd? {
         val reader = EventReader()
         val silence = StreamSilence(clock)
         val longestMs = longestSilenceMs(call)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorWork.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorWork.kt
@@ -37,7 +37,14 @@
 import io.guavashore.platform.CallStore
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
+
+/** What the VM knows of targets, and its connections to them. */
+class TargetParts(
+    val directory: TargetDirectory,
+    val connections: TargetConnections,
+    val loads: TargetLoads,
+    val pace: EnginePace,
+)
 
 /** What outlives a term. */
 class CoordinatorParts(
@@ -45,12 +52,9 @@
     val settings: EdgeSettings,
     val batchStore: BatchStore,
     val call: CallStore,
-    val directory: TargetDirectory,
-    val connections: TargetConnections,
+    val targets: TargetParts,
     val beliefs: Beliefs,
     val usage: UsageBook,
-    val pace: EnginePace,
-    val loads: TargetLoads,
 )
 
 /** Sends to the VMs that would take over what they lack of the texts of the items. */
@@ -84,14 +88,14 @@
         runner = batches
         weights = keeper
         term = current
-        scope.launch { current.followBatches() }
-        scope.launch { current.followRetirements(SharedCollections.RETIREMENTS) }
-        scope.launch { current.removeOldBatches() }
-        scope.launch { batches.run() }
-        scope.launch { keeper.run() }
-        scope.launch { usageDuty().run() }
-        scope.launch { scaleDuty(batches, keeper).run() }
-        scope.launch { copyTexts(batches) }
+        scope.keepRunning("batches of the store") { current.followBatches() }
+        scope.keepRunning("retirements") { current.followRetirements(SharedCollections.RETIREMENTS) }
+        scope.keepRunning("old batches") { current.removeOldBatches() }
+        scope.keepRunning("open batches") { batches.run() }
+        scope.keepRunning("weights") { keeper.run() }
+        scope.keepRunning("usage") { usageDuty().run() }
+        scope.keepRunning("scaling") { scaleDuty(batches, keeper).run() }
+        scope.keepRunning("copies of texts") { copyTexts(batches) }
     }
 
     /** Keeps parts of texts that the coordinator sent, for the case that this VM takes over. */
@@ -138,9 +142,16 @@
         keeper: WeightDuty,
     ) = ItemDispatcher(
         scope = scope,
-        call = ItemCall(parts.ports.targets, parts.connections, parts.directory, parts.pace, clock),
-        directory = parts.directory,
-        pace = parts.pace,
+        call =
+            ItemCall(
+                parts.ports.targets,
+                parts.targets.connections,
+                parts.targets.directory,
+                parts.targets.pace,
+                clock,
+            ),
+        directory = parts.targets.directory,
+        pace = parts.targets.pace,
         uses = EngineUses(keeper::isLoading, keeper::serves),
         clock = clock,
         wallClock = trueTimeMs,
@@ -152,10 +163,10 @@
     ) = ScoreDispatcher(
         scope = scope,
         call =
-            ScoreCall(parts.ports.targets, parts.connections) { target, load ->
-                parts.loads.reported(target.id, load, clock())
+            ScoreCall(parts.ports.targets, parts.targets.connections) { target, load ->
+                parts.targets.loads.reported(target.id, load, clock())
             },
-        targets = ScoreTargets(parts.directory, parts.loads),
+        targets = ScoreTargets(parts.targets.directory, parts.targets.loads),
         clock = clock,
         wallClock = trueTimeMs,
         wake = wake,
@@ -166,8 +177,8 @@
             scope = scope,
             declared = { parts.beliefs.declaration },
             needs = VersionNeeds({ parts.beliefs.namedVersions }, ::leastWanted),
-            directory = parts.directory,
-            control = EngineControl(parts.connections, parts.ports.targets),
+            directory = parts.targets.directory,
+            control = EngineControl(parts.targets.connections, parts.ports.targets),
             runningOn = { dispatcher?.runningOn(it) ?: 0 },
             right = right,
             clock = clock,
@@ -208,7 +219,11 @@
         view =
             EngineDemandView(
                 openItems = batches::openItemsOf,
-                running = { service, zone -> parts.directory.usable(service).count { it.zone == zone } },
+                running = { service, zone ->
+                    parts.targets.directory
+                        .usable(service)
+                        .count { it.zone == zone }
+                },
                 loadsPerSecond = keeper::loadsPerSecond,
                 versionEveryMs = ::versionEveryMs,
             ),
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -24,6 +24,7 @@
 import io.guavashore.edge.coordinator.leaseObjects
 import io.guavashore.edge.duties.TrueTime
 import io.guavashore.edge.duties.UsageBook
+import io.guavashore.edge.forward.FinalAnswers
 import io.guavashore.edge.forward.Forwarder
 import io.guavashore.edge.forward.PoisonList
 import io.guavashore.edge.forward.TargetLoads
@@ -48,7 +49,6 @@
 import io.guavashore.platform.Collection
 import io.guavashore.platform.EntryChange
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 
 private val log = KotlinLogging.logger {}
 
@@ -90,12 +90,9 @@
                 settings,
                 batchStore,
                 store::call,
-                directory,
-                connections,
+                TargetParts(directory, connections, loads, EnginePace()),
                 beliefs,
                 usage,
-                EnginePace(),
-                loads,
             ),
             clock,
             trueTime::nowMs,
@@ -122,10 +119,9 @@
             connections = connections,
             loads = loads,
             targets = ports.targets,
-            callers = ports.callers,
+            answers = FinalAnswers(ports.callers, metrics),
             poison = PoisonList(clock),
             countUse = usage::count,
-            metrics = metrics,
             clock = clock,
         )
     private val front =
@@ -142,9 +138,11 @@
         settings.knownPeers.forEach { mesh.meet(it.toString()) }
         server.listen(settings.callers)
         listenForOperations()
-        catalog.collections.forEach { collection -> loop.scope.launch { sync.follow(collection) } }
-        loop.scope.launch { Registration(card, SharedCollections.VMS, catalog, store::call).ensure() }
-        loop.scope.launch { coordinator.run() }
+        catalog.collections.forEach { collection -> loop.scope.keepRunning("$collection") { sync.follow(collection) } }
+        loop.scope.keepRunning("registration") {
+            Registration(card, SharedCollections.VMS, catalog, store::call).ensure()
+        }
+        loop.scope.keepRunning("coordinator") { coordinator.run() }
     }
 
     /** Stops taking callers, finishes what runs, and hands the coordinator's work on; returns when all is done. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EventReader.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EventReader.kt
@@ -42,12 +42,8 @@
         append(bytes)
         val events = ArrayList<StreamEvent>()
         var start = 0
-        while (scanned < size) {
-            if (buffer[scanned++] != LINE_FEED) continue
-            val length = scanned - 1 - lineStart
-            val isEmpty = length == 0 || (length == 1 && buffer[lineStart] == CARRIAGE_RETURN)
-            lineStart = scanned
-            if (!isEmpty) continue
+        while (nextLine()) {
+            if (!endsEvent()) continue
             events += parse(buffer.copyOfRange(start, scanned))
             start = scanned
         }
@@ -56,6 +52,21 @@
         return events
     }
 
+    /** Goes on to the end of the next line; false if it has not come yet. */
+    private fun nextLine(): Boolean {
+        if (isLineEnd()) lineStart = scanned
+        while (scanned < size) if (buffer[scanned++] == LINE_FEED) return true
+        return false
+    }
+
+    private fun isLineEnd() = scanned > 0 && buffer[scanned - 1] == LINE_FEED
+
+    /** True if the line that ends here is empty. */
+    private fun endsEvent(): Boolean {
+        val length = scanned - 1 - lineStart
+        return length == 0 || (length == 1 && buffer[lineStart] == CARRIAGE_RETURN)
+    }
+
     private fun append(bytes: ByteArray) {
         if (size + bytes.size > buffer.size) buffer = buffer.copyOf(maxOf(size + bytes.size, buffer.size * 2))
         bytes.copyInto(buffer, size)
@@ -68,7 +79,7 @@
         buffer = if (count == size) EMPTY else buffer.copyOfRange(count, size)
         size -= count
         scanned -= count
-        lineStart -= count
+        lineStart = maxOf(0, lineStart - count)
     }
 
     private fun parse(raw: ByteArray): StreamEvent {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
@@ -71,6 +71,11 @@
     val saysLeaving: (AnswerHead) -> Boolean,
     val answerHeaders: (AnswerHead) -> io.guavashore.net.Headers,
     val eventVersion: (line: String) -> Long?,
+    val control: ControlProtocol,
+)
+
+/** Builds and reads messages that control engines. */
+class ControlProtocol(
     val order: (target: TargetId, order: WeightOrder) -> HttpMessage,
     val reportRequest: (target: TargetId) -> HttpMessage,
     val report: (body: ByteArray) -> EngineReport?,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightDuty.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightDuty.kt
@@ -159,7 +159,7 @@
                 fencingNumber = holder.fencingNumber,
                 expectedOrders = known.ordersTaken,
             )
-        val status = control.order(entry, order)
+        val status = control.order(entry, order, holder.isHeld)
         log.info {
             "engine ordered: engine=${entry.id} model=${order.model} version=${order.version} " +
                 "status=$status expected_orders=${order.expectedOrders} fence=${order.fencingNumber} " +
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/ScorePlacementTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/ScorePlacementTest.kt
@@ -112,8 +112,9 @@
 
     /**
      * Load: three trainers, a step of 8 groups of 4 each 4 s; of four groups three are of usual length, and their texts
-     * end within 250 ms of each other. Four targets of 6 slots take 229 ms for a score in the mean and 29 ms for a plain request, of which ten come a second;
-     * one of them turns four times slower for 4 s, another falls silent for 3 s.
+     * end within 250 ms of each other. Four targets of 6 slots take 229 ms for a score in the mean and 29 ms for a
+     * plain request, of which ten come a second; one of them turns four times slower for 4 s, another falls silent for
+     * 3 s.
      */
     @Nested
     inner class `under bursts of score calls` {
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/ScoreReplay.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/ScoreReplay.kt
@@ -9,7 +9,7 @@
 import kotlin.random.Random
 import kotlin.random.asJavaRandom
 
-/** One replay under [terms], or with calls sent as texts end, to the target with the fewest own calls, if [firstCome]. */
+/** One replay under [terms]; if [firstCome], calls are sent as texts end, to the target with the fewest own calls. */
 internal class ScoreReplay(
     seed: Int,
     private val terms: ScoreTerms,
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/ArrivalCounter.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/ArrivalCounter.kt
@@ -11,13 +11,16 @@
 internal class ArrivalCounter(
     private val connection: HttpConnection,
 ) : ChannelInboundHandlerAdapter() {
+    private var bytesWithoutMessage = 0
+
     override fun channelRead(
         ctx: ChannelHandlerContext,
         msg: Any,
     ) {
         val bytes = (msg as? ByteBuf)?.readableBytes() ?: 0
-        connection.arriving(bytes)
+        val before = connection.messagesRead
         ctx.fireChannelRead(msg)
-        connection.arrived()
+        bytesWithoutMessage = if (connection.messagesRead > before) 0 else bytesWithoutMessage + bytes
+        if (bytesWithoutMessage > 0) connection.noMessageIn(bytesWithoutMessage)
     }
 }
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -61,8 +61,9 @@
     private var isInterim = false
     private var interimAnswers = 0
 
-    /** Bytes that have arrived since the last message that was made of some. */
-    private var bytesWithoutMessage = 0
+    /** Number of messages, or parts of one, that have arrived. */
+    internal var messagesRead = 0L
+        private set
 
     /** Hears of the head of each answer before [head] returns it. */
     var onHead: (AnswerHead) -> Unit = {}
@@ -92,7 +93,6 @@
         endArrived = false
         endRead = false
         interimAnswers = 0
-        bytesWithoutMessage = 0
         answers = Mailbox(UNLIMITED, onUndeliveredElement = ReferenceCountUtil::release)
         val headers = DefaultHttpHeaders(false)
         request.headers.forEach { (name, value) -> headers.add(name, value) }
@@ -150,17 +150,18 @@
     /** Reads the rest of the body; fails if it is longer than [mostBytes], or than the process can hold now. */
     suspend fun wholeBody(mostBytes: Int): ByteArray {
         val whole = ByteArrayOutputStream()
+        var held = 0
         try {
             while (true) {
                 val part = nextPart() ?: return whole.toByteArray()
-                if (whole.size() + part.size > mostBytes) throw broken("body longer than $mostBytes bytes")
-                if (!heldAnswers.tryHold(part.size, whole.size())) {
-                    throw broken("no room for ${whole.size() + part.size} bytes of one answer")
-                }
+                val cost = maxOf(part.size, LEAST_PART_BYTES)
+                if (held + cost > mostBytes) throw broken("body longer than $mostBytes bytes")
+                if (!heldAnswers.tryHold(cost, held)) throw broken("no room for ${held + cost} bytes of one answer")
+                held += cost
                 whole.write(part)
             }
         } finally {
-            heldAnswers.release(whole.size())
+            heldAnswers.release(held)
         }
     }
 
@@ -186,23 +187,17 @@
         channel = ctx.channel()
     }
 
-    /** [bytes] have arrived and are about to be read as messages. */
-    internal fun arriving(bytes: Int) {
-        bytesWithoutMessage += bytes
-    }
-
-    /** What has arrived has been read as messages, as far as it makes some. */
-    internal fun arrived() {
-        if (bytesWithoutMessage == 0) return
+    /** [bytes] have arrived since the last message, and make none. */
+    internal fun noMessageIn(bytes: Int) {
         if (answers == null || endArrived) return breakOff("bytes outside an answer")
-        if (bytesWithoutMessage > MOST_BYTES_WITHOUT_MESSAGE) breakOff("$bytesWithoutMessage bytes that are no answer")
+        if (bytes > MOST_BYTES_WITHOUT_MESSAGE) breakOff("$bytes bytes that are no answer")
     }
 
     override fun channelRead(
         ctx: ChannelHandlerContext,
         msg: Any,
     ) {
-        bytesWithoutMessage = 0
+        messagesRead++
         val waiting = answers.takeUnless { endArrived || brokenBy != null }
         if (msg !is HttpObject || waiting == null) {
             ReferenceCountUtil.release(msg)
@@ -290,6 +285,9 @@
         /** Bytes of an answer held for a slow reader before reading pauses. */
         const val MOST_PENDING_BYTES = 262_144
 
+        /** What a part counts for at least: a body in chunks of a few bytes costs many times its size to read. */
+        const val LEAST_PART_BYTES = 64
+
         /** Twice what the decoder takes for a head. */
         const val MOST_BYTES_WITHOUT_MESSAGE = 16_384
 
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpServer.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpServer.kt
@@ -62,7 +62,7 @@
         connections -= connection
     }
 
-    /** Accounts for [bytes] more of a body of which [ownBytes] are held; false if the process holds too many already. */
+    /** Accounts for [bytes] more of a body of which [ownBytes] are held; false if the process holds too many. */
     internal fun tryHold(
         bytes: Int,
         ownBytes: Int,
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/Sockets.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/Sockets.kt
@@ -6,6 +6,7 @@
 import io.guavashore.api.Endpoint
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandler
@@ -41,6 +42,7 @@
     .channel(NioSocketChannel::class.java)
     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs.coerceAtLeast(1).toInt())
     .option(ChannelOption.TCP_NODELAY, true)
+    .option(ChannelOption.RCVBUF_ALLOCATOR, oneReadATurn())
     .option(ChannelOption.SO_KEEPALIVE, true)
     .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_S)
     .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_S)
@@ -66,6 +68,7 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RCVBUF_ALLOCATOR, oneReadATurn())
             .childHandler(
                 object : ChannelInitializer<Channel>() {
                     override fun initChannel(channel: Channel) = initialize(channel)
@@ -82,6 +85,14 @@
         continuation.invokeOnCancellation { channel().close() }
     }
 
+/** Reads little from each connection in turn, so that one that sends without pause does not hold up the others. */
+private fun oneReadATurn() =
+    AdaptiveRecvByteBufAllocator(LEAST_READ_BYTES, FIRST_READ_BYTES, MOST_READ_BYTES).maxMessagesPerRead(1)
+
+private const val LEAST_READ_BYTES = 64
+private const val FIRST_READ_BYTES = 2_048
+private const val MOST_READ_BYTES = 16_384
+
 /** Keep-alive probes find a peer that vanished without a reset within 3 s, the shortest bound that operators set. */
 private const val KEEPALIVE_IDLE_S = 1
 private const val KEEPALIVE_INTERVAL_S = 1
