--- a/guavashore-net/src/test/kotlin/io/guavashore/net/EndlessAnswersTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/EndlessAnswersTest.kt
@@ -1,5 +1,6 @@
 package io.guavashore.net
 
+import io.guavashore.testing.RawServer
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
@@ -61,7 +62,7 @@
         begin: String,
         unit: String,
     ) {
-        RawServer(begin.encodeToByteArray(), after = endless(unit)).use { server ->
+        RawServer(after = endless(unit)) { begin }.use { server ->
             assertFailsWith<ExchangeFailure.Broken> { onLoop { exchange(server) } }
             assertTrue(closed.await(PATIENCE_MS, TimeUnit.MILLISECONDS), "the connection stays open")
             assertTrue(sentBytes.get() <= MOST_SENT_BYTES, "read on for ${sentBytes.get()} bytes")
@@ -109,7 +110,7 @@
     @Test
     fun `bytes after an answer close the connection, also if they make no message`() {
         val server =
-            RawServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".encodeToByteArray(), after = endless("\r\n"))
+            RawServer(after = endless("\r\n")) { SMALL_ANSWER }
         server.use {
             onLoop {
                 val connection = dialer.connect(it.endpoint, timeoutMs = 1_000)
@@ -123,9 +124,9 @@
 
     @Test
     fun `many at once are held to the budget, and other work goes on`() {
-        val begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".encodeToByteArray()
-        val small = RawServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".encodeToByteArray())
-        val bad = List(AT_ONCE) { RawServer(begin, after = endless("4\r\nabcd\r\n")) }
+        val begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        val small = RawServer { SMALL_ANSWER }
+        val bad = List(AT_ONCE) { RawServer(after = endless("4\r\nabcd\r\n")) { begin } }
         var mostHeld = 0L
         var longestMs = 0L
         onLoop {
@@ -151,6 +152,7 @@
     }
 
     private companion object {
+        const val SMALL_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
         const val BLOCK_BYTES = 8_192
         const val AT_ONCE = 14
         const val BUDGET_BYTES = 4_000_000L
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/HttpConnectionTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/HttpConnectionTest.kt
@@ -1,5 +1,6 @@
 package io.guavashore.net
 
+import io.guavashore.testing.RawServer
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
@@ -33,7 +34,7 @@
         after: (Socket) -> Unit = {},
         thenWaitMs: Long = 0,
     ): Exchange =
-        RawServer(answer.encodeToByteArray(), after).use { server ->
+        RawServer(after) { answer }.use { server ->
             onLoop {
                 val connection = HttpDialer(loop).connect(server.endpoint, timeoutMs = 1_000)
                 connection.send(request)
