Less work a turn for bodies in tiny chunks

Traced, not put down to the load: with the loop's own processor time printed beside it, one exchange waited 565 ms, of which 443 ms were the loop's work on these bodies: 16 KB a turn are 1,800 parts, and the budget let 62,000 parts in at 64 bytes each.

Ruled out: starvation by other processes (processor time, not waiting); the budget's sum (held).

The check and its bound are as they were; its message tells the loop's work too.

Conclusion: the loop's share for one sender is bounded by 4 KB and a few hundred parts a turn.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/Sockets.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/Sockets.kt
@@ -91,7 +91,7 @@
 
 private const val LEAST_READ_BYTES = 64
 private const val FIRST_READ_BYTES = 2_048
-private const val MOST_READ_BYTES = 16_384
+private const val MOST_READ_BYTES = 4_096
 
 /** Keep-alive probes find a peer that vanished without a reset within 3 s, the shortest bound that operators set. */
 private const val KEEPALIVE_IDLE_S = 1
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/EndlessAnswersTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/EndlessAnswersTest.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import java.lang.management.ManagementFactory
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -24,6 +25,7 @@
     private val budget = ByteBudget(BUDGET_BYTES)
     private val dialer = HttpDialer(loop, budget)
     private val request = HttpMessage("GET", "/p", Headers.of("Host" to "h"))
+    private val threads = ManagementFactory.getThreadMXBean()
     private val closed = CountDownLatch(1)
     private val sentBytes = AtomicLong()
 
@@ -129,6 +131,7 @@
         val bad = List(AT_ONCE) { RawServer(after = endless("4\r\nabcd\r\n")) { begin } }
         var mostHeld = 0L
         var longestMs = 0L
+        var longestWorkMs = 0L
         onLoop {
             val attacks = bad.map { server -> loop.scope.async { runCatching { exchange(server, Int.MAX_VALUE) } } }
             val watch =
@@ -140,14 +143,16 @@
                 }
             repeat(20) {
                 val fromNs = System.nanoTime()
+                val fromCpu = threads.currentThreadCpuTime
                 assertEquals("ok", exchange(small).body.decodeToString())
                 longestMs = maxOf(longestMs, (System.nanoTime() - fromNs) / 1_000_000)
+                longestWorkMs = maxOf(longestWorkMs, (threads.currentThreadCpuTime - fromCpu) / 1_000_000)
             }
             assertTrue(attacks.awaitAll().all { it.exceptionOrNull() is ExchangeFailure.Broken })
             watch.cancel()
         }
         assertTrue(mostHeld <= BUDGET_BYTES, "held $mostHeld bytes")
-        assertTrue(longestMs <= LONGEST_EXCHANGE_MS, "a small answer took $longestMs ms")
+        assertTrue(longestMs <= LONGEST_EXCHANGE_MS, "a small answer took $longestMs ms, $longestWorkMs ms of work")
         (bad + small).forEach { it.close() }
     }
 
