--- a/guavashore-net/src/main/kotlin/io/guavashore/net/ByteBudget.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/ByteBudget.kt
@@ -30,8 +30,14 @@
         heldBytes -= bytes
     }
 
-    private companion object {
+    companion object {
         /** A holder of this size is let in as long as there is any room. */
-        const val SMALL_BYTES = 65_536L
+        private const val SMALL_BYTES = 65_536L
+
+        /** A part's objects take this much, however short it is; a body in chunks of a few bytes is mostly these. */
+        private const val LEAST_PART_BYTES = 256
+
+        /** What a part of a body of [bytes] counts for in memory. */
+        fun costOf(bytes: Int): Int = maxOf(bytes, LEAST_PART_BYTES)
     }
 }
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -154,7 +154,7 @@
         try {
             while (true) {
                 val part = nextPart() ?: return whole.toByteArray()
-                val cost = costOf(part.size)
+                val cost = ByteBudget.costOf(part.size)
                 if (held + cost > mostBytes) throw broken("body longer than $mostBytes bytes")
                 if (!heldAnswers.tryHold(cost, held)) throw broken("no room for ${held + cost} bytes of one answer")
                 held += cost
@@ -253,16 +253,13 @@
         if (!keepAlive) close()
     }
 
-    /** What a part of a body of [bytes] counts for in memory. */
-    private fun costOf(bytes: Int): Int = maxOf(bytes, LEAST_PART_BYTES)
-
     private fun received(bytes: Int) {
-        pendingBytes += costOf(bytes)
+        pendingBytes += ByteBudget.costOf(bytes)
         if (pendingBytes > MOST_PENDING_BYTES) channel.config().isAutoRead = false
     }
 
     private fun consumed(bytes: Int) {
-        pendingBytes -= costOf(bytes)
+        pendingBytes -= ByteBudget.costOf(bytes)
         if (pendingBytes <= MOST_PENDING_BYTES && !channel.config().isAutoRead) channel.config().isAutoRead = true
     }
 
@@ -288,9 +285,6 @@
         /** Bytes of an answer held for a slow reader before reading pauses. */
         const val MOST_PENDING_BYTES = 262_144
 
-        /** A part's objects take this much, however short it is; a body in chunks of a few bytes is mostly these. */
-        const val LEAST_PART_BYTES = 256
-
         /** Twice what the decoder takes for a head. */
         const val MOST_BYTES_WITHOUT_MESSAGE = 16_384
 
