Steward: a frozen leader no longer delays withdrawn keys

Cause: a steward answers an entry's report once it has the entry's shares, and the new facts, such as the withdrawn key, go with that answer. Shares come from the leaders of zone and fleet, over one connection a peer that carries one exchange at a time, each with a time-out of 600 ms. If the frozen steward leads both, which depends on who took the leases first, each report waits for two or three time-outs, and the reports of all entries wait for each other; an answer later than 1,500 ms makes the entry ask the frozen steward again. A wait on a peer stands in front of data that does not need it. Change: a report waits 400 ms in all for a peer, including the queue for its connection, and goes without its shares, with a log line. Shares last longer than that.

--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/EntryReportHandler.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/EntryReportHandler.kt
@@ -5,6 +5,8 @@
 package io.guavashore.steward
 
 import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.admission.Demand
 import io.guavashore.admission.ResourceId
 import io.guavashore.api.MonotonicClock
@@ -25,9 +27,12 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import java.util.concurrent.ConcurrentHashMap
 
+private val log = KotlinLogging.logger {}
+
 /**
  * State and functions of the steward that [EntryReportHandler] uses. [leaderOf] takes a zone's name or that of the
  * coordinator's role and returns null if no holder is known. [usageBackup] returns the steward that keeps a second
@@ -139,11 +144,15 @@
     ): ControlMessage.ShareReply? {
         if (to == context.self) return context.handleShareRequest(request)
         val peer = context.findMember(to) ?: return null
-        return peerClients
-            .client(peer.control)
-            .exchange(request)
-            .expect<ControlMessage.ShareReply>()
-            .get()
+        val reply =
+            withTimeoutOrNull(PEER_TIMEOUT_MS) {
+                peerClients.client(peer.control).exchange(request).expect<ControlMessage.ShareReply>()
+            }
+        if (reply == null || reply.isErr) {
+            val cause = reply?.getError()?.message ?: "no reply within $PEER_TIMEOUT_MS ms"
+            log.info { "steward did not reply, its shares are missing from this update: vm=$to cause=$cause" }
+        }
+        return reply?.get()
     }
 
     private fun changedCountersFor(receiver: VmId): List<UsageCounter> =
@@ -176,6 +185,11 @@
     }
 
     private companion object {
+        /**
+         * Includes waiting for the exchanges of other reports with the same steward. Facts, such as withdrawn keys, are
+         * sent with the shares, so a steward that is frozen must not delay them.
+         */
+        const val PEER_TIMEOUT_MS = 400L
         val entryPrefixes = listOf(FactKeys.CONFIGURATION, FactKeys.TARGETS, FactKeys.SUSPECTS)
     }
 }
