Requests to a target keep to the limit that it names, over all VMs

Cause: no code read the limit. Class: feedback of a target that is ignored, as the announcement of leaving was before; and a limit on the sum over all senders, which no sender can keep by itself. Ruled out: division by equal shares of each VM, since one VM, the coordinator, sends all items, scores, orders and reports, and since a limit of 0.5 a second leaves none of 60 VMs a usable share; sharing by reports of demand, whose shares are out of date when VMs are cut off. Change: - Any response sets the limit; only a genuine response to a request sent later lifts it. Changes go to all VMs at once, and the coordinator repeats the limits in force twice a second. A limit ends with the process that named it. - The coordinator issues permits from one schedule a target (generic cell rate algorithm, starting empty). Its own items and score calls take what is free; orders and reports wait for a time of their own; other VMs ask for a permit for each plain request or stream, several in one call. A permit names the time from which it may be used and expires a second later, by either clock. - A plain request goes to a target without a limit first, then waits for the next permit within its deadline, else is refused at once with the time of the next free permit; several refused ones are told times that follow each other. - Without a coordinator, VMs send by turns at 0.4 of the rate. Turns go to all registered VMs in rotation by the time they agree on, so the sum holds on both sides of a cut. - Reports while a limited engine loads weights come every 500 ms, not 50.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -4,8 +4,10 @@
 package io.guavashore.edge.batches
 
 import io.guavashore.api.MonotonicClock
-import io.guavashore.api.OrganisationId
 import io.guavashore.edge.declared.TargetEntry
+import io.guavashore.edge.limits.OnNoLimitNamed
+import io.guavashore.edge.limits.Permit
+import io.guavashore.edge.limits.RateStatement
 import io.guavashore.edge.targets.EventReader
 import io.guavashore.edge.targets.ForwardingContext
 import io.guavashore.edge.targets.ResponseMetadata
@@ -48,18 +50,19 @@
     private val connections: TargetConnectionPool,
     private val directory: TargetDirectory,
     private val pace: EnginePace,
+    private val onNoLimitNamed: OnNoLimitNamed,
     private val clock: MonotonicClock,
 ) {
     /**
-     * Runs [item] on [engine], resuming after the last event of its text, and adds new events to its progress.
+     * Runs [item] on [engine] under [permit], resuming after the last event of its text, and adds new events to its
+     * progress.
      *
      * @param deadlineInMs time left until the item is given up, passed on to the engine
      */
     suspend fun run(
         item: ItemState,
         engine: TargetEntry,
-        host: String,
-        organisation: OrganisationId,
+        permit: Permit,
         deadlineInMs: Long,
     ): RunOutcome {
         val connection =
@@ -70,8 +73,10 @@
                 return RunOutcome.NotRun(e.message.orEmpty(), wasOffered = false)
             }
         try {
-            val context = ForwardingContext(engine.id, organisation, deadlineInMs, item.progress.lastEventId)
-            connection.send(protocol.itemRequest(item.spec, host, context))
+            if (!permit.isValid()) return RunOutcome.NotRun("permit expired", wasOffered = false)
+            val record = item.batch.record
+            val context = ForwardingContext(engine.id, record.organisation, deadlineInMs, item.progress.lastEventId)
+            connection.send(protocol.itemRequest(item.spec, record.host, context))
             return read(item, engine, connection)
         } catch (e: ExchangeFailure) {
             return RunOutcome.Broken(e.message.orEmpty())
@@ -93,6 +98,7 @@
         if (!metadata.isGenuine || metadata.requestId?.let { it != item.spec.id.value } == true) {
             return RunOutcome.Broken("response to another request")
         }
+        if (metadata.rate == RateStatement.Unlimited) onNoLimitNamed(engine.id, connection.sentAtNs)
         return readEvents(item, engine, connection, metadata.weightVersion)
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
@@ -11,6 +11,8 @@
 import io.guavashore.edge.declared.EdgeDeclaration
 import io.guavashore.edge.declared.ModelId
 import io.guavashore.edge.declared.TargetEntry
+import io.guavashore.edge.limits.Permit
+import io.guavashore.edge.limits.PermitSource
 import io.guavashore.edge.targets.TargetDirectory
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -35,6 +37,7 @@
     private val engineStatus: EngineStatus,
     private val clock: MonotonicClock,
     private val wallClock: WallClock,
+    private val permits: PermitSource = PermitSource.UNLIMITED,
     private val config: PlacementConfig = PlacementConfig(),
 ) {
     private class Run(
@@ -101,27 +104,30 @@
             msPerEvent = pace.of(entry.id),
             isUsable = !engineStatus.isLoading(entry.id) && !directory.isSuspect(entry.id),
             isLoading = engineStatus.isLoading(entry.id),
+            startsAllowed = permits.available(entry.id),
         )
     }
 
     private fun start(assignment: Assignment) {
         val item = assignment.item
         val engine = directory[assignment.engine] ?: return
+        val permit = permits.take(engine.id) ?: return
         val run = Run(item, engine.id, clock())
         item.phase = ItemPhase.RUNNING
         runs[item] = run
-        run.job = scope.launch(start = CoroutineStart.UNDISPATCHED) { execute(run, engine) }
+        run.job = scope.launch(start = CoroutineStart.UNDISPATCHED) { execute(run, engine, permit) }
     }
 
     private suspend fun execute(
         run: Run,
         engine: TargetEntry,
+        permit: Permit,
     ) {
         val record = run.item.batch.record
         val eventsBefore = run.item.progress.size
         try {
             val leftMs = record.giveUpAtMs - wallClock()
-            onRunEnded(run, call.run(run.item, engine, record.host, record.organisation, leftMs), eventsBefore)
+            onRunEnded(run, call.run(run.item, engine, permit, leftMs), eventsBefore)
         } finally {
             if (runs[run.item] === run) runs.remove(run.item)
             if (run.item.phase == ItemPhase.RUNNING) run.item.phase = ItemPhase.WAITING
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
@@ -22,6 +22,7 @@
  * @property msPerEvent measured time between events of a run; null until measured
  * @property isUsable false while the engine leaves, loads weights, or has just failed
  * @property isLoading true while the engine loads weights
+ * @property startsAllowed number of runs that may be started now within the engine's request limit
  */
 data class EngineView(
     val id: TargetId,
@@ -33,12 +34,13 @@
     val msPerEvent: Double?,
     val isUsable: Boolean,
     val isLoading: Boolean = false,
+    val startsAllowed: Int = Int.MAX_VALUE,
 ) {
     private val currentTokens = runs.sumOf { it.currentTokens }
     private val finalTokens = runs.sumOf { it.finalTokens }
 
     val running: Int get() = runs.size
-    val hasFreeSlot: Boolean get() = isUsable && running < slots
+    val hasFreeSlot: Boolean get() = isUsable && running < slots && startsAllowed > 0
 
     /**
      * True if the peak memory of all runs, with [next] added, is at most [limitTokens]. The peak lies between the
@@ -114,7 +116,11 @@
         if (available.isEmpty()) break
         bestEngine(demand, available.values, config)?.let { best ->
             placed += Assignment(demand.item, best.id)
-            val updated = best.copy(runs = best.runs + demand.item.memoryEstimate(config))
+            val updated =
+                best.copy(
+                    runs = best.runs + demand.item.memoryEstimate(config),
+                    startsAllowed = best.startsAllowed - 1,
+                )
             if (updated.hasFreeSlot) available[best.id] = updated else available.remove(best.id)
         }
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
@@ -4,6 +4,9 @@
 package io.guavashore.edge.batches
 
 import io.guavashore.edge.declared.TargetEntry
+import io.guavashore.edge.limits.OnNoLimitNamed
+import io.guavashore.edge.limits.Permit
+import io.guavashore.edge.limits.RateStatement
 import io.guavashore.edge.targets.ForwardingContext
 import io.guavashore.edge.targets.ReportedLoad
 import io.guavashore.edge.targets.ResponseMetadata
@@ -41,13 +44,15 @@
 class ScoreCall(
     private val protocol: TargetProtocol,
     private val connections: TargetConnectionPool,
+    private val onNoLimitNamed: OnNoLimitNamed = { _, _ -> },
     private val onLoadReported: (TargetEntry, ReportedLoad) -> Unit,
 ) {
-    /** Sends the score call [scorer] to [target]; the call is [ScoreOutcome.Broken] after [timeoutMs]. */
+    /** Sends the score call [scorer] to [target] under [permit]; it is [ScoreOutcome.Broken] after [timeoutMs]. */
     suspend fun run(
         scorer: ScorerSpec,
         target: TargetEntry,
         timeoutMs: Long,
+        permit: Permit = Permit(target.id),
     ): ScoreOutcome {
         val connection =
             try {
@@ -56,6 +61,7 @@
                 return ScoreOutcome.NotRun(e.message.orEmpty(), wasOffered = false)
             }
         try {
+            if (!permit.isValid()) return ScoreOutcome.NotRun("permit expired", wasOffered = false)
             connection.send(
                 protocol.scoreRequest(
                     scorer,
@@ -86,6 +92,9 @@
             connection.discardBody(MAX_ERROR_BYTES)
             return ScoreOutcome.NotRun("status ${head.status}", wasOffered = true)
         }
+        if (metadata.isGenuine && metadata.rate == RateStatement.Unlimited) {
+            onNoLimitNamed(target.id, connection.sentAtNs)
+        }
         connection.readBody(MAX_RESPONSE_BYTES)
         return outcome(scorer, head, metadata)
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreDispatcher.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreDispatcher.kt
@@ -12,6 +12,7 @@
 import io.guavashore.edge.declared.RouteKind
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.forward.TargetLoads
+import io.guavashore.edge.limits.PermitSource
 import io.guavashore.edge.targets.TargetDirectory
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
@@ -40,6 +41,7 @@
     private val clock: MonotonicClock,
     private val wallClock: WallClock,
     private val wake: () -> Unit,
+    private val permits: PermitSource = PermitSource.UNLIMITED,
     private val config: ScorePlacementConfig = ScorePlacementConfig(),
 ) {
     private class Run(
@@ -133,6 +135,7 @@
             otherRequests = maxOf(0, targets.loads.recentlyReported(entry.id, now) - ownCalls),
             typicalMs = targets.pace.of(entry.id),
             isUsable = now >= (fullUntilMs[entry.id] ?: 0) && !targets.directory.isSuspect(entry.id),
+            startsAllowed = permits.available(entry.id),
         )
     }
 
@@ -150,13 +153,14 @@
         attempts.maxFailures = maxOf(item.batch.record.maxAttempts, route.maxAttempts)
         val timeoutMs = minOf(attempts.deadlineMs - now, item.batch.record.giveUpAtMs - wallClock())
         if (timeoutMs <= 0) return
+        val permit = permits.take(target.id) ?: return
         val run = Run(target.id, now)
         attempts.running += run
         targets.loads.begin(target.id)
         run.job =
             scope.launch(start = CoroutineStart.UNDISPATCHED) {
                 try {
-                    onCallEnded(item, run, call.run(scorer, target, timeoutMs))
+                    onCallEnded(item, run, call.run(scorer, target, timeoutMs, permit))
                 } finally {
                     targets.loads.end(target.id)
                     attemptsByItem[item]?.running?.remove(run)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScorePlacement.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScorePlacement.kt
@@ -26,6 +26,7 @@
  * @property otherRequests number of other requests that run or wait on the target, as reported by its latest responses
  * @property typicalMs average duration of a score call on the target; null until measured
  * @property isUsable false while the target leaves, is full, or has just failed
+ * @property startsAllowed number of calls that may be started now within the target's request limit
  */
 data class ScoringTargetView(
     val id: TargetId,
@@ -35,6 +36,7 @@
     val otherRequests: Int = 0,
     val typicalMs: Double? = null,
     val isUsable: Boolean = true,
+    val startsAllowed: Int = Int.MAX_VALUE,
 )
 
 /**
@@ -97,7 +99,7 @@
     val overdue = running.filter { (it.runningForMs ?: 0) >= hedgeDelayMs }
     return (scoreOrder(first) + scoreOrder(overdue)).mapNotNull { demand ->
         val best = bestTarget(demand, available.values, config) ?: return@mapNotNull null
-        available[best.id] = best.copy(ownCalls = best.ownCalls + 1)
+        available[best.id] = best.copy(ownCalls = best.ownCalls + 1, startsAllowed = best.startsAllowed - 1)
         ScoreAssignment(demand.item, best.id)
     }
 }
@@ -108,7 +110,7 @@
     targets: Collection<ScoringTargetView>,
     config: ScorePlacementConfig,
 ): ScoringTargetView? {
-    val eligible = targets.filter { it.isUsable && it.service in demand.services }
+    val eligible = targets.filter { it.isUsable && it.startsAllowed > 0 && it.service in demand.services }
     val untried = eligible.filter { it.id !in demand.tried }
     val candidates = if (untried.isEmpty() && demand.runningForMs == null) eligible else untried
     return candidates
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorTerm.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorTerm.kt
@@ -15,6 +15,7 @@
 import io.guavashore.edge.batches.ItemId
 import io.guavashore.edge.batches.ItemPhase
 import io.guavashore.edge.batches.StoredBatch
+import io.guavashore.edge.limits.PermitIssuer
 import io.guavashore.edge.peers.PeerCall
 import io.guavashore.edge.peers.PeerReply
 import io.guavashore.platform.CallStore
@@ -29,6 +30,7 @@
 /** Handles the calls and store changes of one term. Not thread-safe. */
 class CoordinatorTerm(
     private val runner: BatchRunner,
+    private val permits: PermitIssuer,
     private val store: BatchStore,
     private val call: CallStore,
     private val emptiedStatus: String,
@@ -44,6 +46,7 @@
             is PeerCall.ReadBody -> readItemBody(call.batch, call.organisation, call.item)
             is PeerCall.EndBatch -> end(call.batch, call.organisation)
             is PeerCall.BatchAccepted -> adoptAccepted(call)
+            is PeerCall.Permits -> PeerReply.Permits(call.requests.map(permits::decide))
             is PeerCall.Store -> PeerReply.NotHere
         }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -7,11 +7,12 @@
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.OrganisationId
 import io.guavashore.api.TargetId
-import io.guavashore.api.ZoneId
 import io.guavashore.edge.declared.Route
 import io.guavashore.edge.declared.RouteKind
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.front.RequestMetadata
+import io.guavashore.edge.limits.OnNoLimitNamed
+import io.guavashore.edge.limits.RateStatement
 import io.guavashore.edge.targets.ForwardingContext
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
@@ -53,7 +54,7 @@
 
 /** Forwards the requests that callers send to one VM. Not thread-safe. */
 class Forwarder(
-    private val zone: ZoneId,
+    private val chooser: TargetChooser,
     private val directory: TargetDirectory,
     private val connections: TargetConnectionPool,
     private val loads: TargetLoads,
@@ -61,6 +62,7 @@
     private val errorResponder: ErrorResponder,
     private val poison: PoisonList,
     private val recordUsage: RecordUsage,
+    private val onNoLimitNamed: OnNoLimitNamed,
     private val clock: MonotonicClock,
 ) {
     private val streams = StreamForwarder(targets, clock)
@@ -72,9 +74,15 @@
             return errorResponder.refuse(call, UNAVAILABLE, "this request has crashed several targets", null)
         }
         while (true) {
-            val target = chooseTarget(call) ?: return respondNoTarget(call)
+            val choice = chooser.choose(call)
+            if (choice !is TargetChoice.Chosen) return respondUnplaced(call, choice)
+            val target = choice.target
+            if (!choice.permit.isValid()) {
+                log.warn { "permit expired before use: request=${call.metadata.requestId} target=${target.id}" }
+                continue
+            }
             call.tried += target.id
-            val outcome = attempt(call, target)
+            val outcome = attempt(call, choice)
             if (call.connectionFailed) poison.onConnectionFailed(fingerprint, target.id)
             if (call.responseCompleted) poison.onCompleted(fingerprint)
             if (outcome == null) return
@@ -95,23 +103,12 @@
         }
     }
 
-    private fun chooseTarget(call: ForwardedCall): TargetEntry? {
-        val candidates =
-            call.route.backends
-                .filter { it.weight > 0 }
-                .flatMap { directory.usable(it.service) }
-        val untried = candidates.filter { it.id !in call.tried }
-        val chosenService = loads.serviceFor(call.route, untried) ?: return null
-        val ofService = untried.filter { it.service == chosenService }
-        val healthy = ofService.filterNot { directory.isSuspect(it.id) }.ifEmpty { ofService }
-        return loads.pick(healthy, zone)
-    }
-
     /** Returns null once the response to the caller has ended, else the outcome of the failed attempt. */
     private suspend fun attempt(
         call: ForwardedCall,
-        target: TargetEntry,
+        choice: TargetChoice.Chosen,
     ): AttemptOutcome? {
+        val target = choice.target
         val atMostOnce = call.route.kind != RouteKind.SAFE
         call.connectionFailed = false
         val connection =
@@ -125,7 +122,7 @@
                 return AttemptOutcome.NOT_SENT
             }
         val leftMs = call.deadlineMs - clock()
-        if (leftMs <= 0) {
+        if (leftMs <= 0 || !choice.permit.isValid()) {
             connections.release(target.id, connection)
             return AttemptOutcome.NOT_SENT
         }
@@ -182,6 +179,7 @@
         if (metadata.notRun || head.status == MISDIRECTED) return handleNotRun(target, head, connection)
         recordUsageOnce(call)
         if (!metadata.isGenuine) return rejectResponse(call, target, connection)
+        if (metadata.rate == RateStatement.Unlimited) onNoLimitNamed(target.id, connection.sentAtNs)
         val isStream = call.route.kind == RouteKind.STREAMING && head.status < FIRST_ERROR_STATUS
         return when {
             isStream -> forwardStream(call, head, connection)
@@ -247,8 +245,14 @@
         call.organisation?.let(recordUsage)
     }
 
-    private fun respondNoTarget(call: ForwardedCall) {
+    private fun respondUnplaced(
+        call: ForwardedCall,
+        choice: TargetChoice,
+    ) {
         if (call.attempts.mayHaveRun > 0) return errorResponder.fail(call, call.deadlineMs - clock())
+        if (choice is TargetChoice.RateLimited) {
+            return errorResponder.refuse(call, UNAVAILABLE, "all targets limit their requests", choice.retryAfterMs)
+        }
         errorResponder.refuse(call, UNAVAILABLE, "no target of the service is available", NO_TARGET_RETRY_AFTER_MS)
     }
 
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
@@ -0,0 +1,101 @@
+/*
+ * Chooses the target of the next attempt of a call, and obtains a permit if the target limits its requests.
+ *
+ * Load pattern: some targets of a service limit their requests to a fraction of what arrives. A target without a limit
+ * takes what it has slots for. Beyond that, the limited ones take what their limits allow, and a call that finds no room
+ * waits for the next permit if that comes in time. Any other call is refused at once, with the time of the next permit.
+ */
+package io.guavashore.edge.forward
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.MonotonicClock
+import io.guavashore.api.ZoneId
+import io.guavashore.edge.declared.TargetEntry
+import io.guavashore.edge.limits.Permit
+import io.guavashore.edge.limits.PermitOutcome
+import io.guavashore.edge.limits.RequestPermits
+import io.guavashore.edge.targets.TargetDirectory
+import kotlinx.coroutines.delay
+
+private val log = KotlinLogging.logger {}
+
+/** Target of an attempt, or the reason why there is none. */
+sealed interface TargetChoice {
+    data class Chosen(
+        val target: TargetEntry,
+        val permit: Permit,
+    ) : TargetChoice
+
+    /** All targets limit their requests; a new request finds room in [retryAfterMs]. */
+    data class RateLimited(
+        val retryAfterMs: Long,
+    ) : TargetChoice
+
+    /** No target of the route that the call has not tried is listed. */
+    data object NoTarget : TargetChoice
+}
+
+/** Chooses targets for the calls of one VM. Not thread-safe. */
+class TargetChooser(
+    private val zone: ZoneId,
+    private val directory: TargetDirectory,
+    private val loads: TargetLoads,
+    private val permits: RequestPermits,
+    private val clock: MonotonicClock,
+) {
+    /** Chooses a target that [call] has not tried. Suspends until the permit for it may be used. */
+    suspend fun choose(call: ForwardedCall): TargetChoice {
+        val candidates = candidates(call)
+        val (limited, free) = candidates.partition { permits.isLimited(it.id) }
+        val best = loads.pick(free, zone)
+        if (best != null && (limited.isEmpty() || !loads.isFull(best))) return chosen(best)
+        if (limited.isEmpty()) return TargetChoice.NoTarget
+        // A full target without a limit queues the call, which takes less time than waiting for a permit.
+        val maxWaitMs = if (best == null) maxWaitMs(call) else 0
+        val outcome = permits.obtain(loads.byLoad(limited, zone).map { it.id }, maxWaitMs)
+        if (outcome is PermitOutcome.NoRoom) {
+            if (best != null) return chosen(best)
+            log.info {
+                "no room within the limits of targets: request=${call.metadata.requestId} " +
+                    "targets=${limited.map { it.id }} max_wait_ms=$maxWaitMs retry_after_ms=${outcome.retryAfterMs}"
+            }
+            return TargetChoice.RateLimited(outcome.retryAfterMs)
+        }
+        return awaitPermit(call, (outcome as PermitOutcome.Obtained).permit)
+    }
+
+    private fun chosen(target: TargetEntry) = TargetChoice.Chosen(target, Permit(target.id))
+
+    private suspend fun awaitPermit(
+        call: ForwardedCall,
+        permit: Permit,
+    ): TargetChoice {
+        val waitMs = permit.notBeforeMs - clock()
+        log.info { "permit obtained: request=${call.metadata.requestId} target=${permit.target} wait_ms=$waitMs" }
+        if (waitMs > 0) delay(waitMs)
+        val target = directory.usable().firstOrNull { it.id == permit.target } ?: return choose(call)
+        return TargetChoice.Chosen(target, permit)
+    }
+
+    private fun candidates(call: ForwardedCall): List<TargetEntry> {
+        val untried =
+            call.route.backends
+                .filter { it.weight > 0 }
+                .flatMap { directory.usable(it.service) }
+                .filter { it.id !in call.tried }
+        val service = loads.serviceFor(call.route, untried) ?: return emptyList()
+        val ofService = untried.filter { it.service == service }
+        return ofService.filterNot { directory.isSuspect(it.id) }.ifEmpty { ofService }
+    }
+
+    /** Time for which [call] may wait so that its target still has time to respond. */
+    private fun maxWaitMs(call: ForwardedCall): Long {
+        val leftMs = call.deadlineMs - clock()
+        return maxOf(0, leftMs - maxOf(MIN_SERVICE_MS, minOf(call.route.objectiveMs, leftMs / 2)))
+    }
+
+    private companion object {
+        /** Time reserved for the response of the target. */
+        const val MIN_SERVICE_MS = 50L
+    }
+}
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetLoads.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetLoads.kt
@@ -72,10 +72,19 @@
     fun pick(
         candidates: List<TargetEntry>,
         localZone: ZoneId,
-    ): TargetEntry? =
-        candidates.minWithOrNull(
-            compareBy({ load(it) + if (it.zone == localZone) 0.0 else OTHER_ZONE_PENALTY }, { it.id }),
-        )
+    ): TargetEntry? = candidates.minWithOrNull(order(localZone))
+
+    /** Returns [candidates] in the order in which [pick] prefers them. */
+    fun byLoad(
+        candidates: List<TargetEntry>,
+        localZone: ZoneId,
+    ): List<TargetEntry> = candidates.sortedWith(order(localZone))
+
+    /** True if all slots of [target] are taken, as far as this VM knows. */
+    fun isFull(target: TargetEntry): Boolean = load(target) >= 1.0
+
+    private fun order(localZone: ZoneId): Comparator<TargetEntry> =
+        compareBy({ load(it) + if (it.zone == localZone) 0.0 else OTHER_ZONE_PENALTY }, { it.id })
 
     private fun sentCount(
         route: Route,
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
@@ -0,0 +1,170 @@
+/*
+ * Obtains permits for the requests of one VM, from the coordinator or, while there is none, by turns.
+ *
+ * Requests that arrive while a call to the coordinator is under way share the next one, so that the number of calls
+ * does not grow with the number of requests.
+ */
+package io.guavashore.edge.limits
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.MonotonicClock
+import io.guavashore.api.TargetId
+import io.guavashore.api.VmId
+import io.guavashore.api.WallClock
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+private val log = KotlinLogging.logger {}
+
+/** Asks the coordinator for permits; null if none is known or it does not decide in time. */
+typealias AskCoordinator = suspend (List<PermitRequest>) -> List<PermitDecision>?
+
+/** Outcome of asking for a permit. */
+sealed interface PermitOutcome {
+    data class Obtained(
+        val permit: Permit,
+    ) : PermitOutcome
+
+    /** No target has room in time; there is room for a repeated request in [retryAfterMs]. */
+    data class NoRoom(
+        val retryAfterMs: Long,
+    ) : PermitOutcome
+}
+
+/** The registered VMs, and the wall clock that they agree on. */
+class Fleet(
+    val self: VmId,
+    val registered: () -> Collection<VmId>,
+    val medianTimeMs: WallClock,
+)
+
+/** Permits of one VM. Not thread-safe. */
+class RequestPermits(
+    private val scope: CoroutineScope,
+    private val limits: TargetRateLimits,
+    private val askCoordinator: AskCoordinator,
+    private val fleet: Fleet,
+    private val clock: MonotonicClock,
+    private val wallClock: WallClock,
+) {
+    private class Pending(
+        val request: PermitRequest,
+        val decision: CompletableDeferred<PermitDecision?> = CompletableDeferred(),
+    )
+
+    private val pending = ArrayList<Pending>()
+    private var isAsking = false
+    private val turns = RotatingTurns()
+
+    /** True if requests to [target] need a permit. */
+    fun isLimited(target: TargetId): Boolean = limits.of(target) != null
+
+    /** Obtains a permit for one of [candidates], preferred ones first, that may be used within [maxWaitMs]. */
+    suspend fun obtain(
+        candidates: List<TargetId>,
+        maxWaitMs: Long,
+    ): PermitOutcome {
+        val askedMs = clock()
+        val limited = candidates.map { TargetRateLimit(it, bornAtMs = null, limits.of(it)) }
+        val decision = ask(PermitRequest(limited, maxWaitMs)) ?: decideAlone(limited, maxWaitMs)
+        if (decision is PermitDecision.Refused) return PermitOutcome.NoRoom(decision.retryAfterMs)
+        val granted = decision as PermitDecision.Granted
+        return PermitOutcome.Obtained(permit(granted.target, clock() + granted.waitMs, askedMs + granted.waitMs))
+    }
+
+    /** Suspends until a request may be sent to [target]; null if that takes longer than [maxWaitMs]. */
+    suspend fun await(
+        target: TargetId,
+        maxWaitMs: Long,
+    ): Permit? {
+        if (!isLimited(target)) return Permit(target)
+        val outcome = obtain(listOf(target), maxWaitMs) as? PermitOutcome.Obtained ?: return null
+        delay(outcome.permit.notBeforeMs - clock())
+        return outcome.permit
+    }
+
+    /** Permits that [issuer], on this VM, has free at the moment. */
+    fun from(issuer: PermitIssuer) =
+        PermitSource(
+            available = issuer::available,
+            take = { target -> if (issuer.take(target)) permit(target, clock(), clock()) else null },
+        )
+
+    private fun permit(
+        target: TargetId,
+        notBeforeMs: Long,
+        issuedForMs: Long,
+    ): Permit {
+        if (!isLimited(target)) return Permit(target)
+        val useByMs = issuedForMs + VALIDITY_MS
+        // The monotonic clock stands still while the VM is suspended.
+        val useByWallMs = wallClock() + (useByMs - clock())
+        return Permit(target, notBeforeMs) { clock() <= useByMs && wallClock() <= useByWallMs }
+    }
+
+    private suspend fun ask(request: PermitRequest): PermitDecision? {
+        val waiting = Pending(request)
+        pending += waiting
+        if (!isAsking) scope.launch { askWhilePending() }
+        return waiting.decision.await()
+    }
+
+    private suspend fun askWhilePending() {
+        if (isAsking) return
+        isAsking = true
+        try {
+            while (pending.isNotEmpty()) {
+                val batch = pending.toList()
+                pending.clear()
+                var decisions: List<PermitDecision>? = null
+                try {
+                    decisions = askCoordinator(batch.map { it.request })
+                } finally {
+                    batch.forEachIndexed { index, waiting -> waiting.decision.complete(decisions?.getOrNull(index)) }
+                }
+                delay(minOf(MAX_SPACING_MS, batch.size * SPACING_PER_REQUEST_MS))
+            }
+        } finally {
+            isAsking = false
+        }
+    }
+
+    private fun decideAlone(
+        candidates: List<TargetRateLimit>,
+        maxWaitMs: Long,
+    ): PermitDecision {
+        val vms = (fleet.registered() + fleet.self).toSortedSet()
+        val rank = vms.headSet(fleet.self).size
+        val wallMs = fleet.medianTimeMs()
+        val granted =
+            candidates.firstNotNullOfOrNull { candidate ->
+                val requestsPerS = candidate.requestsPerS
+                val waitMs =
+                    if (requestsPerS == null) {
+                        0
+                    } else {
+                        turns.take(candidate.target, requestsPerS, rank, vms.size, wallMs, maxWaitMs)
+                    }
+                waitMs?.let { PermitDecision.Granted(candidate.target, it) }
+            }
+        log.info {
+            "no permits from a coordinator, turns used: targets=${candidates.map { it.target }} rank=$rank " +
+                "vms=${vms.size} max_wait_ms=$maxWaitMs granted=${granted?.target} wait_ms=${granted?.waitMs}"
+        }
+        return granted ?: PermitDecision.Refused(NO_COORDINATOR_RETRY_AFTER_MS)
+    }
+
+    private companion object {
+        /** Time from which a permit may be used until it expires; covers opening a connection. */
+        const val VALIDITY_MS = 1_000L
+
+        /** Limits a VM to ten calls a second under load, and does not delay single requests noticeably. */
+        const val SPACING_PER_REQUEST_MS = 2L
+        const val MAX_SPACING_MS = 100L
+
+        /** A successor of a lost coordinator issues permits within about this time. */
+        const val NO_COORDINATOR_RETRY_AFTER_MS = 3_000L
+    }
+}
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
@@ -12,6 +12,9 @@
 import io.guavashore.edge.batches.ItemId
 import io.guavashore.edge.batches.ResultPage
 import io.guavashore.edge.batches.TextPart
+import io.guavashore.edge.limits.PermitDecision
+import io.guavashore.edge.limits.PermitRequest
+import io.guavashore.edge.limits.TargetRateLimit
 import io.guavashore.leases.LeaseRecord
 import io.guavashore.platform.CollectionName
 import io.guavashore.platform.EntryChange
@@ -129,6 +132,13 @@
         val bornAtMs: Long?,
     ) : PeerMessage
 
+    /** Limits that targets set on the rate of their requests, or that have been lifted. */
+    @Serializable
+    @SerialName("m")
+    data class RateLimits(
+        val limits: List<TargetRateLimit>,
+    ) : PeerMessage
+
     @Serializable
     @SerialName("c")
     data class Call(
@@ -155,6 +165,13 @@
         val timeoutMs: Long,
     ) : PeerCall
 
+    /** Requests permits for requests to limited targets; only the coordinator replies. */
+    @Serializable
+    @SerialName("permits")
+    data class Permits(
+        val requests: List<PermitRequest>,
+    ) : PeerCall
+
     /** Reads results of a batch, after index [after]; only the coordinator replies. */
     @Serializable
     @SerialName("read")
@@ -204,6 +221,13 @@
         val fault: StoreCallError? = null,
     ) : PeerReply
 
+    /** Decisions on the requests of a [PeerCall.Permits], in their order. */
+    @Serializable
+    @SerialName("permits")
+    data class Permits(
+        val decisions: List<PermitDecision>,
+    ) : PeerReply
+
     @Serializable
     @SerialName("page")
     data class Page(
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -27,6 +27,11 @@
 import io.guavashore.edge.duties.UsageCounters
 import io.guavashore.edge.duties.UsageReporter
 import io.guavashore.edge.forward.TargetLoads
+import io.guavashore.edge.limits.OnNoLimitNamed
+import io.guavashore.edge.limits.PermitIssuer
+import io.guavashore.edge.limits.PermitSource
+import io.guavashore.edge.limits.RequestPermits
+import io.guavashore.edge.limits.TargetRateLimits
 import io.guavashore.edge.peers.PeerCall
 import io.guavashore.edge.peers.PeerReply
 import io.guavashore.edge.targets.EngineControl
@@ -44,6 +49,14 @@
     val connections: TargetConnectionPool,
     val loads: TargetLoads,
     val pace: EnginePace,
+    val limits: RequestLimits,
+)
+
+/** Request limits of targets as known to this VM, and its permits to send requests to limited targets. */
+class RequestLimits(
+    val rates: TargetRateLimits,
+    val permits: RequestPermits,
+    val onNoLimitNamed: OnNoLimitNamed,
 )
 
 /** Dependencies of the coordinator's tasks that exist for longer than a term. */
@@ -80,13 +93,18 @@
         scope: CoroutineScope,
         fencingNumber: Long,
     ) {
+        val issuer = PermitIssuer(dependencies.targets.limits.rates, clock)
+        val permits =
+            dependencies.targets.limits.permits
+                .from(issuer)
         val updater = weightUpdater(scope)
-        val items = itemDispatcher(scope, updater)
-        val batches = batchRunner(scope, fencingNumber, items, scoreDispatcher(scope, items::wake))
+        val items = itemDispatcher(scope, updater, permits)
+        val batches = batchRunner(scope, fencingNumber, items, scoreDispatcher(scope, items::wake, permits))
         dispatcher = items
         val current =
             CoordinatorTerm(
                 batches,
+                issuer,
                 dependencies.batchStore,
                 dependencies.call,
                 dependencies.ports.emptiedStatus,
@@ -147,6 +165,7 @@
     private fun itemDispatcher(
         scope: CoroutineScope,
         updater: WeightUpdater,
+        permits: PermitSource,
     ) = ItemDispatcher(
         scope = scope,
         call =
@@ -155,6 +174,7 @@
                 dependencies.targets.connections,
                 dependencies.targets.directory,
                 dependencies.targets.pace,
+                dependencies.targets.limits.onNoLimitNamed,
                 clock,
             ),
         directory = dependencies.targets.directory,
@@ -162,21 +182,26 @@
         engineStatus = EngineStatus(updater::isLoading, updater::serves),
         clock = clock,
         wallClock = medianTimeMs,
+        permits = permits,
     )
 
     private fun scoreDispatcher(
         scope: CoroutineScope,
         wake: () -> Unit,
+        permits: PermitSource,
     ) = ScoreDispatcher(
         scope = scope,
         call =
-            ScoreCall(dependencies.ports.targets, dependencies.targets.connections) { target, load ->
-                dependencies.targets.loads.recordLoad(target.id, load, clock())
-            },
+            ScoreCall(
+                dependencies.ports.targets,
+                dependencies.targets.connections,
+                dependencies.targets.limits.onNoLimitNamed,
+            ) { target, load -> dependencies.targets.loads.recordLoad(target.id, load, clock()) },
         targets = ScoringTargets(dependencies.targets.directory, dependencies.targets.loads),
         clock = clock,
         wallClock = medianTimeMs,
         wake = wake,
+        permits = permits,
     )
 
     private fun weightUpdater(scope: CoroutineScope) =
@@ -185,11 +210,16 @@
             declared = { dependencies.sharedState.declaration },
             requirements = VersionRequirements({ dependencies.sharedState.publishedVersions }, ::minAcceptedVersion),
             directory = dependencies.targets.directory,
-            control = EngineControl(dependencies.targets.connections, dependencies.ports.targets),
+            control =
+                EngineControl(dependencies.targets.connections, dependencies.ports.targets) {
+                    dependencies.targets.limits.permits
+                        .await(it, MAX_CONTROL_WAIT_MS)
+                },
             runningOn = { dispatcher?.runningOn(it) ?: 0 },
             leaseGrant = leaseGrant,
             clock = clock,
             onLoaded = { dispatcher?.wake() },
+            isLimited = dependencies.targets.limits.permits::isLimited,
         )
 
     /** Oldest version that all open batches of [model] accept; 0 if there are none. */
@@ -248,6 +278,9 @@
         /** Limits the generation work that is repeated after a failover; a shorter interval costs more messages. */
         const val TEXT_REPLICATION_INTERVAL_MS = 300L
 
+        /** A load that is ordered later than this is still in time for the next version. */
+        const val MAX_CONTROL_WAIT_MS = 2_000L
+
         /** Used if no route declares a due time for its results. */
         const val DEFAULT_DUE_MS = 8_000L
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -27,8 +27,16 @@
 import io.guavashore.edge.forward.ErrorResponder
 import io.guavashore.edge.forward.Forwarder
 import io.guavashore.edge.forward.PoisonList
+import io.guavashore.edge.forward.TargetChooser
 import io.guavashore.edge.forward.TargetLoads
 import io.guavashore.edge.front.Frontend
+import io.guavashore.edge.limits.Fleet
+import io.guavashore.edge.limits.PermitDecision
+import io.guavashore.edge.limits.PermitRequest
+import io.guavashore.edge.limits.RateStatement
+import io.guavashore.edge.limits.RequestPermits
+import io.guavashore.edge.limits.TargetRateLimit
+import io.guavashore.edge.limits.TargetRateLimits
 import io.guavashore.edge.peers.Heartbeat
 import io.guavashore.edge.peers.PeerCall
 import io.guavashore.edge.peers.PeerEvents
@@ -49,6 +57,7 @@
 import io.guavashore.platform.CollectionName
 import io.guavashore.platform.EntryChange
 import kotlinx.coroutines.delay
+import java.util.concurrent.TimeUnit
 
 private val log = KotlinLogging.logger {}
 
@@ -92,6 +101,16 @@
         )
     private val connections = TargetConnectionPool(HttpDialer(loop), onResponseHead = ::onResponseHead)
     private val loads = TargetLoads()
+    private val rateLimits = TargetRateLimits(clock, directory::bornAtMs)
+    private val permits =
+        RequestPermits(
+            scope = loop.scope,
+            limits = rateLimits,
+            askCoordinator = ::askForPermits,
+            fleet = Fleet(vmRecord.vm, ::registeredVms, medianClock::nowMs),
+            clock = clock,
+            wallClock = wallClock,
+        )
     private val batchStore = BatchStore(store::call, clock)
     private val coordinatorTasks =
         CoordinatorTasks(
@@ -100,7 +119,13 @@
                 settings,
                 batchStore,
                 store::call,
-                TargetComponents(directory, connections, loads, EnginePace()),
+                TargetComponents(
+                    directory,
+                    connections,
+                    loads,
+                    EnginePace(),
+                    RequestLimits(rateLimits, permits, ::onNoLimitNamed),
+                ),
                 sharedState,
                 usage,
             ),
@@ -124,7 +149,7 @@
     private val batchGateway = BatchGateway(batchStore, ::callCoordinator, clock)
     private val forwarder =
         Forwarder(
-            zone = settings.zone,
+            chooser = TargetChooser(settings.zone, directory, loads, permits, clock),
             directory = directory,
             connections = connections,
             loads = loads,
@@ -132,6 +157,7 @@
             errorResponder = ErrorResponder(ports.callers, metrics),
             poison = PoisonList(clock),
             recordUsage = usage::count,
+            onNoLimitNamed = ::onNoLimitNamed,
             clock = clock,
         )
     private val frontend =
@@ -164,6 +190,7 @@
             VmRegistration(vmRecord, SharedCollections.VMS, catalog, store::call).ensureRegistered()
         }
         loop.scope.launchWithRestart("coordinator") { coordinator.run() }
+        loop.scope.launchWithRestart("request limits") { repeatRateLimits() }
     }
 
     /** Hands over the coordinator's tasks, stops accepting callers and waits for active requests; returns when done. */
@@ -215,10 +242,43 @@
         if (directory.recordLeaving(leaving.target, leaving.bornAtMs)) coordinatorTasks.onSharedStateChanged()
     }
 
+    override fun onRateLimits(limits: List<TargetRateLimit>) {
+        val news = limits.map(rateLimits::onPeerLimit)
+        if (news.any { it }) coordinatorTasks.onSharedStateChanged()
+    }
+
+    private fun onNoLimitNamed(
+        target: TargetId,
+        sentAtNs: Long,
+    ) = publish(rateLimits.recordAbsent(target, TimeUnit.NANOSECONDS.toMillis(sentAtNs)))
+
+    private fun publish(changed: TargetRateLimit?) {
+        if (changed == null) return
+        mesh.broadcast(PeerMessage.RateLimits(listOf(changed)))
+        coordinatorTasks.onSharedStateChanged()
+    }
+
+    /** Repeats the limits in force to all peers, since those that were not connected have missed the changes. */
+    private suspend fun repeatRateLimits() {
+        while (true) {
+            delay(RATE_LIMITS_INTERVAL_MS)
+            val limits = if (coordinator.isActive) rateLimits.inForce() else emptyList()
+            if (limits.isNotEmpty()) mesh.broadcast(PeerMessage.RateLimits(limits))
+        }
+    }
+
+    private suspend fun askForPermits(requests: List<PermitRequest>): List<PermitDecision>? =
+        (callCoordinator(PeerCall.Permits(requests), PERMITS_TIMEOUT_MS) as? PeerReply.Permits)?.decisions
+
+    private fun registeredVms(): List<VmId> =
+        catalog.entries(SharedCollections.VMS).mapNotNull { readVmRecord(it.content)?.vm }
+
     private fun onResponseHead(
         target: TargetId,
         head: ResponseHead,
     ) {
+        val rate = ports.targets.rateStatement(head)
+        if (rate is RateStatement.Limited) publish(rateLimits.recordNamed(target, rate.requestsPerS))
         if (!ports.targets.announcesLeaving(head)) return
         val bornAtMs = directory.bornAtMs(target)
         if (!directory.recordLeaving(target, bornAtMs)) return
@@ -271,7 +331,11 @@
     ) {
         sharedState.apply(collection, changes)
         if (collection == SharedCollections.VMS) changes.forEach(::applyVmChange)
-        if (collection == SharedCollections.TARGETS) connections.retain(directory.all().mapTo(HashSet()) { it.id })
+        if (collection == SharedCollections.TARGETS) {
+            val targets = directory.all().mapTo(HashSet()) { it.id }
+            connections.retain(targets)
+            rateLimits.retain(targets)
+        }
         coordinatorTasks.onSharedStateChanged()
     }
 
@@ -299,6 +363,12 @@
         /** Well below a third of the lease's duration, so that a timed-out renewal is repeated before expiry. */
         const val LEASE_TIMEOUT_MS = 500L
 
+        /** Less than the time within which all VMs must keep to a limit. */
+        const val RATE_LIMITS_INTERVAL_MS = 500L
+
+        /** Far above a round trip between regions; without a reply, this VM uses its turns. */
+        const val PERMITS_TIMEOUT_MS = 300L
+
         /** The load balancer checks once a second and removes a VM after two failed checks. */
         const val LOAD_BALANCER_DELAY_MS = 2_600L
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
@@ -4,7 +4,9 @@
 package io.guavashore.edge.targets
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.TargetId
 import io.guavashore.edge.declared.TargetEntry
+import io.guavashore.edge.limits.Permit
 import io.guavashore.net.HttpConnection
 import io.guavashore.net.HttpRequestMessage
 import io.guavashore.net.HttpResponseMessage
@@ -12,10 +14,14 @@
 
 private val log = KotlinLogging.logger {}
 
+/** Suspends until a call may be sent to a target; null if that takes too long. */
+typealias AwaitPermit = suspend (TargetId) -> Permit?
+
 /** Control calls to engines. They throw [io.guavashore.net.ExchangeFailure] if the connection fails. */
 class EngineControl(
     private val connections: TargetConnectionPool,
     private val protocol: TargetProtocol,
+    private val awaitPermit: AwaitPermit = { Permit(it) },
 ) {
     /** Returns the state of the engine; null if it did not respond in time or its response can't be decoded. */
     suspend fun report(engine: TargetEntry): EngineReport? =
@@ -41,10 +47,15 @@
         timeoutMs: Long,
         maySend: () -> Boolean = { true },
     ): HttpResponseMessage? {
+        val permit = awaitPermit(engine.id)
+        if (permit == null) {
+            log.info { "control call not sent, no room within the limit: engine=${engine.id} path=${message.path}" }
+            return null
+        }
         val connection = connections.take(engine)
         try {
-            if (!maySend()) {
-                log.warn { "control call not sent, lease no longer held: engine=${engine.id} path=${message.path}" }
+            if (!maySend() || !permit.isValid()) {
+                log.warn { "control call not sent, lease or permit expired: engine=${engine.id} path=${message.path}" }
                 return null
             }
             connection.send(message)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
@@ -8,6 +8,7 @@
 import io.guavashore.edge.batches.ItemSpec
 import io.guavashore.edge.batches.ScorerSpec
 import io.guavashore.edge.declared.ModelId
+import io.guavashore.edge.limits.RateStatement
 import io.guavashore.net.HttpRequestMessage
 import io.guavashore.net.ResponseHead
 
@@ -32,6 +33,7 @@
  * @property requestId id of the request to which this is the response
  * @property weightVersion version of the weights at the beginning of the response
  * @property load requests that run and wait at the target
+ * @property rate what the response says about the rate of requests that the target takes
  */
 data class ResponseMetadata(
     val receipt: String?,
@@ -39,6 +41,7 @@
     val requestId: String?,
     val weightVersion: Long?,
     val load: ReportedLoad?,
+    val rate: RateStatement = RateStatement.Unlimited,
 ) {
     val isGenuine: Boolean get() = receipt != null
 }
@@ -83,6 +86,8 @@
     val itemRequest: (item: ItemSpec, host: String, context: ForwardingContext) -> HttpRequestMessage,
     val scoreRequest: (scorer: ScorerSpec, context: ForwardingContext) -> HttpRequestMessage,
     val metadata: (ResponseHead) -> ResponseMetadata,
+    /** Returns what the response says about the rate of requests that its target takes. */
+    val rateStatement: (ResponseHead) -> RateStatement,
     /** True if the response announces that its target is leaving and will take no more requests. */
     val announcesLeaving: (ResponseHead) -> Boolean,
     /** Returns the header fields of a response that are forwarded to the caller. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightUpdater.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightUpdater.kt
@@ -50,6 +50,7 @@
     private val leaseGrant: () -> LeaseGrant?,
     private val clock: MonotonicClock,
     private val onLoaded: () -> Unit,
+    private val isLimited: (TargetId) -> Boolean = { false },
 ) {
     private val assigned = HashMap<TargetId, ModelId>()
     private val limits = HashMap<ServiceId, LoadConcurrencyLimit>()
@@ -209,7 +210,7 @@
                 if (version < decision.version) retryLater(entry.id, "still at version $version after the load")
                 return
             }
-            delay(REPORT_INTERVAL_MS)
+            delay(if (isLimited(entry.id)) LIMITED_REPORT_INTERVAL_MS else REPORT_INTERVAL_MS)
         }
         retryLater(entry.id, "completion of the load not observed")
     }
@@ -246,6 +247,9 @@
 
         /** An engine idles until its completed load is detected; a report costs a hundredth of this interval. */
         const val REPORT_INTERVAL_MS = 50L
+
+        /** Reports count against the limit of an engine that limits its requests, as runs do. */
+        const val LIMITED_REPORT_INTERVAL_MS = 500L
         const val LOAD_TIMEOUT_MS = 4_000L
         const val RETRY_DELAY_MS = 300L
     }
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/PlacementTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/PlacementTest.kt
@@ -64,6 +64,15 @@
         fun `no item is placed on an engine whose weights are older than the minimum version`() =
             assertEquals(emptyList(), placedOn(engine("e", version = 2)))
 
+        @Test
+        fun `an engine that limits its requests gets as many items as it has room for, the others go elsewhere`() {
+            val items = batch("many", List(9) { itemSpec("m$it") }).items.map(::demand)
+            val limited = engine("limited").copy(startsAllowed = 2)
+            val placed = placeItems(items, listOf(limited, engine("e", msPerEvent = 90.0))).map { it.engine.value }
+            assertEquals(mapOf("limited" to 2, "e" to 7), placed.groupingBy { it }.eachCount())
+            assertEquals(emptyList(), placeItems(items, listOf(limited.copy(startsAllowed = 0))))
+        }
+
         @Test
         fun `no item is placed on an engine without a free slot`() =
             assertEquals(emptyList(), placedOn(engine("e", version = 3, running = 12)))
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -72,6 +72,10 @@
     var busy = false
         private set
 
+    /** Monotonic time at which the last request was sent, in nanoseconds. */
+    var sentAtNs = 0L
+        private set
+
     /** Monotonic time of the last completed exchange, in nanoseconds. */
     var idleSinceNs = System.nanoTime()
         private set
@@ -90,6 +94,7 @@
     fun send(request: HttpRequestMessage) {
         check(!busy) { "an exchange is in progress on this connection" }
         busy = true
+        sentAtNs = System.nanoTime()
         lastPartReceived = false
         lastPartConsumed = false
         interimResponses = 0
