A trainer's sample under which targets crashed is still owed

Cause: StepRunner sends samples and their score calls through CallRunner as if a caller waited for them. The guard against poison requests refuses a request after two crashes, which tells a caller not to repeat it; work that was accepted has nobody to tell. Class: a rule for requests applied to work that is owed. Ruled out: the edge's batches. An item's crashed engines only delay it (up to 3.2 s) and are avoided while others can run it; the list of poison requests is read by Forwarder alone. Change: CallPlan says whether a call is owed. Such a call is never refused as poison; it runs alone on a target, and after two crashes only with pauses that grow with the targets that crashed, up to 3.2 s. Plain callers are refused as before. What a sample that really crashes each target costs is one target per pause until its trainer leaves.

--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/CallRunner.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/CallRunner.kt
@@ -17,18 +17,22 @@
 import io.guavashore.routing.RequestFingerprint
 import io.guavashore.routing.RetryBudget
 import io.guavashore.routing.Suspicion
+import kotlinx.coroutines.delay
 
 /**
  * A call to run.
  *
  * @property idempotent true if the call may run more than once
  * @property canResume true if a further attempt continues after the output of a failed one
+ * @property isOwed true if the call is part of work that was accepted for later; it is not refused as a poison request,
+ * but runs alone on a target, with growing pauses after each crash
  */
 data class CallPlan(
     val slot: SlotRequest,
     val fingerprint: RequestFingerprint,
     val idempotent: Boolean,
     val canResume: Boolean = false,
+    val isOwed: Boolean = false,
 )
 
 /** Runs one attempt on a target; throws [TargetFailure]. */
@@ -87,10 +91,13 @@
         tried: MutableSet<TargetId>,
     ): Result<Slot, Refusal> {
         val suspicion = guard.suspicion(plan.fingerprint)
-        if (suspicion == Suspicion.POISON) return Err(guard.refusal())
+        if (suspicion == Suspicion.POISON) {
+            if (!plan.isOwed) return Err(guard.refusal())
+            delay(CRASH_PAUSE_MS shl minOf(guard.crashes(plan.fingerprint), MAX_DOUBLINGS))
+        }
         val serving = dispatcher.targets().filter { it.target.stage == TargetStage.SERVING }
         if (serving.all { it.target.id in tried }) tried.clear()
-        return dispatcher.acquire(plan.slot.copy(exclude = tried.toSet(), exclusive = suspicion == Suspicion.RUN_ALONE))
+        return dispatcher.acquire(plan.slot.copy(exclude = tried.toSet(), exclusive = suspicion != Suspicion.NONE))
     }
 
     /** Runs one attempt and always releases its slot. */
@@ -125,4 +132,10 @@
         val mayBeCrash = failurePoint.mayHaveRun && failurePoint != FailurePoint.TOO_LONG
         if (mayBeCrash && !isUp(target)) guard.recordCrash(target.id, plan.fingerprint)
     }
+
+    private companion object {
+        /** Base of the pause of owed work after a crash; doubles with each target that crashed, up to 3.2 s. */
+        const val CRASH_PAUSE_MS = 100L
+        const val MAX_DOUBLINGS = 5
+    }
 }
--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/SuspectGuard.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/SuspectGuard.kt
@@ -20,6 +20,8 @@
     fun suspicion(fingerprint: RequestFingerprint): Suspicion =
         synchronized(list) { list.suspicion(fingerprint, clock()) }
 
+    fun crashes(fingerprint: RequestFingerprint): Int = synchronized(list) { list.crashes(fingerprint, clock()) }
+
     fun recordCrash(
         target: TargetId,
         fingerprint: RequestFingerprint,
--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/CallRunnerTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/CallRunnerTest.kt
@@ -125,6 +125,45 @@
             }
     }
 
+    @Nested
+    inner class `work that was accepted for later` {
+        private val owed = plan(body = "sample", deadlineMs = 1_000_000).copy(isOwed = true)
+
+        @Test
+        fun `a sound item under which targets crashed in a burst is placed again once they are calm`() =
+            runTest {
+                val runner = runner(dispatcher(*(1..6).map { target("t$it") }.toTypedArray()))
+                repeat(4) {
+                    runner.run(owed) { target ->
+                        downTargets += target.id
+                        throw TargetFailure(FailurePoint.ANSWERING, "crash")
+                    }
+                }
+                downTargets.clear()
+                assertEquals("text", runner.run(owed) { "text" }.get())
+            }
+
+        @Test
+        fun `an item that crashes all its targets reaches them alone and ever more seldom`() =
+            runTest {
+                val dispatcher = dispatcher(*(1..6).map { target("t$it") }.toTypedArray())
+                val runner = runner(dispatcher)
+                val startedMs = mutableListOf<Long>()
+                repeat(12) {
+                    runner.run(owed) { target ->
+                        startedMs += currentTime
+                        assertEquals(1, dispatcher.inFlight()[target.id])
+                        downTargets += target.id
+                        throw TargetFailure(FailurePoint.ANSWERING, "crash")
+                    }
+                }
+                assertTrue(startedMs.size >= 12, "runs $startedMs")
+                val pausesMs = startedMs.zipWithNext { a, b -> b - a }
+                assertEquals(pausesMs.sorted(), pausesMs, "pauses never shrink")
+                assertTrue(pausesMs.last() >= 1_000, "pauses $pausesMs")
+            }
+    }
+
     @Nested
     inner class `slots` {
         @Test
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/StepRunner.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/StepRunner.kt
@@ -145,7 +145,7 @@
                 prefixKey = "${key.step}/${work.group}",
             )
         val fingerprint = RequestFingerprint.of(trainer.organisation, "${work.request}".toByteArray())
-        val plan = CallPlan(slot, fingerprint, idempotent = true)
+        val plan = CallPlan(slot, fingerprint, idempotent = true, isOwed = true)
         val ownProgress = if (work.duplicate) progress[work.sample]?.copy() ?: SampleProgress() else SampleProgress()
         if (!work.duplicate) progress[work.sample] = ownProgress
         return services.timed(admitted, WorkClass.SAMPLES) {
@@ -192,7 +192,7 @@
                 deadlineMs =
                     services.clock() + admitted.service.timeoutMs,
             )
-        val plan = CallPlan(slot, RequestFingerprint.of(trainer.organisation, body), idempotent = true)
+        val plan = CallPlan(slot, RequestFingerprint.of(trainer.organisation, body), idempotent = true, isOwed = true)
         val response = services.callPlainUnlimited(admitted, request, plan).getOrElse { return null }
         return try {
             apiJson.decodeFromString<ScoreResponseBody>(response.body.decodeToString()).score
--- a/guavashore-routing/src/main/kotlin/io/guavashore/routing/SuspectList.kt
+++ b/guavashore-routing/src/main/kotlin/io/guavashore/routing/SuspectList.kt
@@ -88,6 +88,12 @@
         return if (history.targets.size >= POISON_CRASHES) Suspicion.POISON else Suspicion.RUN_ALONE
     }
 
+    /** Number of targets that crashed while the request ran on them. */
+    fun crashes(
+        fingerprint: RequestFingerprint,
+        nowMs: Long,
+    ): Int = suspects[fingerprint]?.takeIf { nowMs < it.keepUntilMs }?.targets?.size ?: 0
+
     /** Records to report to other entry nodes; expired ones are removed first. */
     fun records(nowMs: Long): List<SuspectRecord> {
         suspects.values.removeIf { it.keepUntilMs <= nowMs }
