Permits only from a coordinator that no other VM can have replaced

Class: acting on a permission that has run out. Ruled out: stopping at the end of the lease; an outage of the store, in which nobody can take over, would then stop all limited targets' work. Change: permits are issued under the lease, or while the coordinator reaches most of the registered VMs, which would tell it of a successor. Otherwise it takes turns like any other VM, and calls for permits get NotHere. Turns are kept by time, not by number, since the numbers change with the rate.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorTerm.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorTerm.kt
@@ -31,6 +31,7 @@
 class CoordinatorTerm(
     private val runner: BatchRunner,
     private val permits: PermitIssuer,
+    private val mayIssuePermits: () -> Boolean,
     private val store: BatchStore,
     private val call: CallStore,
     private val emptiedStatus: String,
@@ -46,7 +47,7 @@
             is PeerCall.ReadBody -> readItemBody(call.batch, call.organisation, call.item)
             is PeerCall.EndBatch -> end(call.batch, call.organisation)
             is PeerCall.BatchAccepted -> adoptAccepted(call)
-            is PeerCall.Permits -> PeerReply.Permits(call.requests.map(permits::decide))
+            is PeerCall.Permits -> issuePermits(call)
             is PeerCall.Store -> PeerReply.NotHere
         }
 
@@ -123,6 +124,9 @@
         }
     }
 
+    private fun issuePermits(call: PeerCall.Permits): PeerReply =
+        if (mayIssuePermits()) PeerReply.Permits(call.requests.map(permits::decide)) else PeerReply.NotHere
+
     private suspend fun readBatch(call: PeerCall.ReadBatch): PeerReply {
         val batch = runner[call.batch] ?: return readEnded(call)
         if (batch.record.organisation != call.organisation) return PeerReply.Unknown
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
@@ -33,10 +33,16 @@
     ) : PermitOutcome
 }
 
-/** The registered VMs, and the wall clock that they agree on. */
+/**
+ * The registered VMs, and the wall clock that they agree on.
+ *
+ * @property mayIssue true while this VM is the coordinator and no other VM can be: another one may issue permits as soon
+ * as the lease of this one has expired, unless this one would have heard of it
+ */
 class Fleet(
     val self: VmId,
     val registered: () -> Collection<VmId>,
+    val mayIssue: () -> Boolean,
     val medianTimeMs: WallClock,
 )
 
@@ -85,13 +91,35 @@
         return outcome.permit
     }
 
-    /** Permits that [issuer], on this VM, has free at the moment. */
+    /** Permits for this VM's own requests that [issuer] has free at the moment, or turns if it may not issue any. */
     fun from(issuer: PermitIssuer) =
         PermitSource(
-            available = issuer::available,
-            take = { target -> if (issuer.take(target)) permit(target, clock(), clock()) else null },
+            available = { if (fleet.mayIssue()) issuer.available(it) else ownTurns(it) },
+            take = { target ->
+                val isTaken = if (fleet.mayIssue()) issuer.take(target) else takeOwnTurn(target, maxWaitMs = 0) != null
+                if (isTaken) permit(target, clock(), clock()) else null
+            },
         )
 
+    private fun ownTurns(target: TargetId): Int {
+        val requestsPerS = limits.of(target) ?: return Int.MAX_VALUE
+        return if (turns.waitMs(target, requestsPerS, place()) == 0L) 1 else 0
+    }
+
+    /** Takes this VM's next turn at [target] and returns the time until it begins; null if that exceeds [maxWaitMs]. */
+    private fun takeOwnTurn(
+        target: TargetId,
+        maxWaitMs: Long,
+    ): Long? {
+        val requestsPerS = limits.of(target) ?: return 0
+        return turns.take(target, requestsPerS, place(), maxWaitMs)
+    }
+
+    private fun place(): RotationPlace {
+        val vms = (fleet.registered() + fleet.self).toSortedSet()
+        return RotationPlace(rank = vms.headSet(fleet.self).size, vmCount = vms.size, wallMs = fleet.medianTimeMs())
+    }
+
     private fun permit(
         target: TargetId,
         notBeforeMs: Long,
@@ -135,23 +163,13 @@
         candidates: List<TargetRateLimit>,
         maxWaitMs: Long,
     ): PermitDecision {
-        val vms = (fleet.registered() + fleet.self).toSortedSet()
-        val rank = vms.headSet(fleet.self).size
-        val wallMs = fleet.medianTimeMs()
         val granted =
             candidates.firstNotNullOfOrNull { candidate ->
-                val requestsPerS = candidate.requestsPerS
-                val waitMs =
-                    if (requestsPerS == null) {
-                        0
-                    } else {
-                        turns.take(candidate.target, requestsPerS, rank, vms.size, wallMs, maxWaitMs)
-                    }
-                waitMs?.let { PermitDecision.Granted(candidate.target, it) }
+                takeOwnTurn(candidate.target, maxWaitMs)?.let { PermitDecision.Granted(candidate.target, it) }
             }
         log.info {
-            "no permits from a coordinator, turns used: targets=${candidates.map { it.target }} rank=$rank " +
-                "vms=${vms.size} max_wait_ms=$maxWaitMs granted=${granted?.target} wait_ms=${granted?.waitMs}"
+            "no permits from a coordinator, turns used: targets=${candidates.map { it.target }} " +
+                "max_wait_ms=$maxWaitMs granted=${granted?.target} wait_ms=${granted?.waitMs}"
         }
         return granted ?: PermitDecision.Refused(NO_COORDINATOR_RETRY_AFTER_MS)
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RotatingTurns.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RotatingTurns.kt
@@ -11,35 +11,60 @@
 import io.guavashore.api.TargetId
 import kotlin.math.ceil
 
+/**
+ * Place of a VM in the rotation.
+ *
+ * @property rank position among the [vmCount] registered VMs, from 0
+ * @property wallMs wall time that the VMs agree on, in milliseconds since the Unix epoch
+ */
+class RotationPlace(
+    val rank: Int,
+    val vmCount: Int,
+    val wallMs: Long,
+)
+
 /** Turns of one VM. Not thread-safe; does no I/O. */
 class RotatingTurns {
-    private val lastTurn = HashMap<TargetId, Long>()
-
-    /**
-     * Takes the next turn at [target] that begins by [wallMs] + [maxWaitMs] and returns the time until it begins; null if
-     * there is none.
-     *
-     * @param rank position of this VM among the [vmCount] registered ones, from 0
-     * @param wallMs wall time that the VMs agree on, in milliseconds since the Unix epoch
-     */
+    /** Wall time at which the last turn taken ends; a turn's number would change with the rate. */
+    private val takenUntilMs = HashMap<TargetId, Double>()
+
+    /** Takes the next turn at [target] and returns the time until it begins; null if that exceeds [maxWaitMs]. */
     fun take(
         target: TargetId,
         requestsPerS: Double,
-        rank: Int,
-        vmCount: Int,
-        wallMs: Long,
+        place: RotationPlace,
         maxWaitMs: Long,
     ): Long? {
-        val turnMs = MS_PER_S / (effectiveRate(requestsPerS) * RATE_SHARE)
-        val offset = Math.floorMod(target.value.hashCode(), vmCount)
-        val first = maxOf((wallMs / turnMs).toLong(), (lastTurn[target] ?: -1) + 1)
-        val turn = first + Math.floorMod(rank - offset - first, vmCount.toLong())
-        val beginsMs = maxOf(wallMs, ceil(turn * turnMs).toLong())
-        if (beginsMs - wallMs > maxWaitMs) return null
-        lastTurn[target] = turn
-        return beginsMs - wallMs
+        val waitMs = waitMs(target, requestsPerS, place)
+        if (waitMs > maxWaitMs) return null
+        val turnMs = turnMs(requestsPerS)
+        takenUntilMs[target] = (nextTurn(target, turnMs, place) + 1) * turnMs
+        return waitMs
+    }
+
+    /** Time until the next turn at [target] begins. */
+    fun waitMs(
+        target: TargetId,
+        requestsPerS: Double,
+        place: RotationPlace,
+    ): Long {
+        val turnMs = turnMs(requestsPerS)
+        return maxOf(0, ceil(nextTurn(target, turnMs, place) * turnMs).toLong() - place.wallMs)
+    }
+
+    private fun nextTurn(
+        target: TargetId,
+        turnMs: Double,
+        place: RotationPlace,
+    ): Long {
+        val first = maxOf((place.wallMs / turnMs).toLong(), Math.round((takenUntilMs[target] ?: 0.0) / turnMs))
+        // Different targets begin their rotations at different VMs.
+        val offset = Math.floorMod(target.value.hashCode(), place.vmCount)
+        return first + Math.floorMod(place.rank - offset - first, place.vmCount.toLong())
     }
 
+    private fun turnMs(requestsPerS: Double) = MS_PER_S / (effectiveRate(requestsPerS) * RATE_SHARE)
+
     private companion object {
         const val MS_PER_S = 1_000.0
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -56,6 +56,7 @@
 class RequestLimits(
     val rates: TargetRateLimits,
     val permits: RequestPermits,
+    val mayIssue: () -> Boolean,
     val onNoLimitNamed: OnNoLimitNamed,
 )
 
@@ -105,6 +106,7 @@
             CoordinatorTerm(
                 batches,
                 issuer,
+                dependencies.targets.limits.mayIssue,
                 dependencies.batchStore,
                 dependencies.call,
                 dependencies.ports.emptiedStatus,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -107,7 +107,7 @@
             scope = loop.scope,
             limits = rateLimits,
             askCoordinator = ::askForPermits,
-            fleet = Fleet(vmRecord.vm, ::registeredVms, medianClock::nowMs),
+            fleet = Fleet(vmRecord.vm, ::registeredVms, ::mayIssuePermits, medianClock::nowMs),
             clock = clock,
             wallClock = wallClock,
         )
@@ -124,7 +124,7 @@
                     connections,
                     loads,
                     EnginePace(),
-                    RequestLimits(rateLimits, permits, ::onNoLimitNamed),
+                    RequestLimits(rateLimits, permits, ::mayIssuePermits, ::onNoLimitNamed),
                 ),
                 sharedState,
                 usage,
@@ -261,15 +261,21 @@
     /** Repeats the limits in force to all peers, since those that were not connected have missed the changes. */
     private suspend fun repeatRateLimits() {
         while (true) {
-            delay(RATE_LIMITS_INTERVAL_MS)
             val limits = if (coordinator.isActive) rateLimits.inForce() else emptyList()
             if (limits.isNotEmpty()) mesh.broadcast(PeerMessage.RateLimits(limits))
+            delay(maxOf(RATE_LIMITS_INTERVAL_MS, limits.size * mesh.alive().size / MAX_LIMITS_PER_MS))
         }
     }
 
     private suspend fun askForPermits(requests: List<PermitRequest>): List<PermitDecision>? =
         (callCoordinator(PeerCall.Permits(requests), PERMITS_TIMEOUT_MS) as? PeerReply.Permits)?.decisions
 
+    /** A coordinator that reaches most VMs hears of a successor from them, so it may go on after its lease has expired. */
+    private fun mayIssuePermits(): Boolean {
+        if (!coordinator.isActive) return false
+        return coordinator.holdsLease() || (mesh.alive().size + 1) * 2 > catalog.entries(SharedCollections.VMS).size
+    }
+
     private fun registeredVms(): List<VmId> =
         catalog.entries(SharedCollections.VMS).mapNotNull { readVmRecord(it.content)?.vm }
 
@@ -366,6 +372,9 @@
         /** Less than the time within which all VMs must keep to a limit. */
         const val RATE_LIMITS_INTERVAL_MS = 500L
 
+        /** Limits sent by the coordinator, counted for each receiver; a limit takes about 40 bytes. */
+        const val MAX_LIMITS_PER_MS = 3L
+
         /** Far above a round trip between regions; without a reply, this VM uses its turns. */
         const val PERMITS_TIMEOUT_MS = 300L
 
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/limits/RotatingTurnsTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/limits/RotatingTurnsTest.kt
@@ -21,7 +21,10 @@
             val times = ArrayList<Long>()
             var wallMs = START_MS + random.nextLong(50)
             while (wallMs < START_MS + DURATION_MS) {
-                turns.take(target, requestsPerS, rank, vmCount, wallMs, maxWaitMs)?.let { times += wallMs + it }
+                turns.take(target, requestsPerS, RotationPlace(rank, vmCount, wallMs), maxWaitMs)?.let {
+                    times +=
+                        wallMs + it
+                }
                 wallMs += 20 + random.nextLong(30)
             }
             times
@@ -44,9 +47,19 @@
     @Test
     fun `a VM takes each of its turns once`() {
         val turns = RotatingTurns()
-        assertEquals(0, turns.take(target, 1.0, rank = 0, vmCount = 1, wallMs = START_MS, maxWaitMs = 0))
-        assertNull(turns.take(target, 1.0, rank = 0, vmCount = 1, wallMs = START_MS + 1, maxWaitMs = 0))
-        assertEquals(2_500, turns.take(target, 1.0, rank = 0, vmCount = 1, wallMs = START_MS, maxWaitMs = 3_000))
+        val start = RotationPlace(rank = 0, vmCount = 1, wallMs = START_MS)
+        assertEquals(0, turns.take(target, 1.0, start, maxWaitMs = 0))
+        assertNull(turns.take(target, 1.0, RotationPlace(rank = 0, vmCount = 1, wallMs = START_MS + 1), maxWaitMs = 0))
+        assertEquals(2_500, turns.take(target, 1.0, start, maxWaitMs = 3_000))
+    }
+
+    @Test
+    fun `a lower rate delays the next turn by one rotation at most`() {
+        val turns = RotatingTurns()
+        val place = RotationPlace(rank = 1, vmCount = 3, wallMs = START_MS)
+        repeat(5) { turns.take(target, 20.0, place, maxWaitMs = 3_000) }
+        val waitMs = turns.waitMs(target, 1.0, place)
+        assertTrue(waitMs <= 5 * 3 * 125 + 3 * 2_500, "$waitMs ms")
     }
 
     private companion object {
