A VM that has just started is told the limits that its peers know

All VMs had been restarted one after the other, and each new process knew no limit until a response named it. Cause: only the coordinator repeats the limits, and between two coordinators nobody does; a new process becomes coordinator without having heard of them. Class: knowledge that only the processes hold, lost in a rolling restart. Ruled out: the store; limits change within seconds, and each write has a price. Change: a heartbeat to a peer whose process has been heard of for less than 2 s has the limits in force. A ping is taken in before its pong is written, so the first pong has them, before the new VM can hold the lease. Conclusion: fixed for restarts in series. If all VMs are lost at once, limits are learned anew from the first responses.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
@@ -159,11 +159,11 @@
     ) {
         when (val message = decode(frame) ?: return connection.close()) {
             is PeerMessage.Ping -> {
+                events.onHeartbeat(message.heartbeat)
                 connection.send(
                     encode(PeerMessage.Pong(message.sequence, events.heartbeat(message.heartbeat.vmRecord.vm))),
                 )
                 addPeer(message.heartbeat.vmRecord.address)
-                events.onHeartbeat(message.heartbeat)
             }
             is PeerMessage.Pong -> {
                 linkOf(connection)?.onPong(message)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
@@ -64,6 +64,7 @@
  * @property usage sender's counts; empty unless the receiver reports usage or may do so soon
  * @property storeReachable false while the sender's direct store calls fail
  * @property stopping true once the sender has been asked to stop
+ * @property rateLimits limits of targets in force; empty unless the receiver has just started
  */
 @Serializable
 data class Heartbeat(
@@ -76,6 +77,7 @@
     val usage: List<UsageCount> = emptyList(),
     val storeReachable: Boolean = true,
     val stopping: Boolean = false,
+    val rateLimits: List<TargetRateLimit> = emptyList(),
 )
 
 /** Message on a connection between two VMs. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -38,6 +38,7 @@
 import io.guavashore.edge.limits.TargetRateLimit
 import io.guavashore.edge.limits.TargetRateLimits
 import io.guavashore.edge.peers.Heartbeat
+import io.guavashore.edge.peers.NewPeers
 import io.guavashore.edge.peers.PeerCall
 import io.guavashore.edge.peers.PeerEvents
 import io.guavashore.edge.peers.PeerMesh
@@ -101,6 +102,7 @@
         )
     private val connections = TargetConnectionPool(HttpDialer(loop), onResponseHead = ::onResponseHead)
     private val loads = TargetLoads()
+    private val newPeers = NewPeers(clock)
     private val rateLimits = TargetRateLimits(clock, directory::bornAtMs)
     private val permits =
         RequestPermits(
@@ -221,6 +223,7 @@
                 if (receiver == null || receiver in coordinator.usageReporters()) usage.ownCounts() else emptyList(),
             storeReachable = store.isReachable,
             stopping = stopping,
+            rateLimits = if (receiver != null && newPeers.isNew(receiver)) rateLimits.inForce() else emptyList(),
         )
 
     override fun needsFastFailureDetection() = coordinator.holdsLease()
@@ -229,6 +232,8 @@
         medianClock.onHeartbeat(heartbeat.vmRecord.vm, heartbeat.wallMs)
         usage.merge(heartbeat.vmRecord.vm, heartbeat.vmRecord.incarnation, heartbeat.usage)
         heartbeat.leaseState?.let(coordinator::onLeaseState)
+        newPeers.onHeartbeat(heartbeat.vmRecord)
+        onRateLimits(heartbeat.rateLimits)
         sync.changesToRequest(heartbeat).forEach { mesh.send(heartbeat.vmRecord.vm, it) }
     }
 
