--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
@@ -64,6 +64,9 @@
     private var isAsking = false
     private val turns = RotatingTurns()
 
+    /** True while this VM may issue permits to others. */
+    val mayIssue: () -> Boolean get() = fleet.mayIssue
+
     /** True if requests to [target] need a permit. */
     fun isLimited(target: TargetId): Boolean = limits.of(target) != null
 
@@ -73,11 +76,15 @@
         maxWaitMs: Long,
     ): PermitOutcome {
         val askedMs = clock()
+        val askedWallMs = wallClock()
         val limited = candidates.map { TargetRateLimit(it, bornAtMs = null, limits.of(it)) }
         val decision = ask(PermitRequest(limited, maxWaitMs)) ?: decideAlone(limited, maxWaitMs)
         if (decision is PermitDecision.Refused) return PermitOutcome.NoRoom(decision.retryAfterMs)
         val granted = decision as PermitDecision.Granted
-        return PermitOutcome.Obtained(permit(granted.target, clock() + granted.waitMs, askedMs + granted.waitMs))
+        val useWithinMs = granted.waitMs + VALIDITY_MS
+        return PermitOutcome.Obtained(
+            permit(granted.target, clock() + granted.waitMs, askedMs + useWithinMs, askedWallMs + useWithinMs),
+        )
     }
 
     /** Suspends until a request may be sent to [target]; null if that takes longer than [maxWaitMs]. */
@@ -97,7 +104,7 @@
             available = { if (fleet.mayIssue()) issuer.available(it) else ownTurns(it) },
             take = { target ->
                 val isTaken = if (fleet.mayIssue()) issuer.take(target) else takeOwnTurn(target, maxWaitMs = 0) != null
-                if (isTaken) permit(target, clock(), clock()) else null
+                if (isTaken) permit(target, clock(), clock() + VALIDITY_MS, wallClock() + VALIDITY_MS) else null
             },
         )
 
@@ -120,15 +127,14 @@
         return RotationPlace(rank = vms.headSet(fleet.self).size, vmCount = vms.size, wallMs = fleet.medianTimeMs())
     }
 
+    /** Permit that expires by either clock: the monotonic one stands still while the VM is suspended. */
     private fun permit(
         target: TargetId,
         notBeforeMs: Long,
-        issuedForMs: Long,
+        useByMs: Long,
+        useByWallMs: Long,
     ): Permit {
         if (!isLimited(target)) return Permit(target)
-        val useByMs = issuedForMs + VALIDITY_MS
-        // The monotonic clock stands still while the VM is suspended.
-        val useByWallMs = wallClock() + (useByMs - clock())
         return Permit(target, notBeforeMs) { clock() <= useByMs && wallClock() <= useByWallMs }
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -27,11 +27,9 @@
 import io.guavashore.edge.duties.UsageCounters
 import io.guavashore.edge.duties.UsageReporter
 import io.guavashore.edge.forward.TargetLoads
-import io.guavashore.edge.limits.OnNoLimitNamed
 import io.guavashore.edge.limits.PermitIssuer
 import io.guavashore.edge.limits.PermitSource
-import io.guavashore.edge.limits.RequestPermits
-import io.guavashore.edge.limits.TargetRateLimits
+import io.guavashore.edge.limits.RequestLimits
 import io.guavashore.edge.peers.PeerCall
 import io.guavashore.edge.peers.PeerReply
 import io.guavashore.edge.targets.EngineControl
@@ -52,14 +50,6 @@
     val limits: RequestLimits,
 )
 
-/** Request limits of targets as known to this VM, and its permits to send requests to limited targets. */
-class RequestLimits(
-    val rates: TargetRateLimits,
-    val permits: RequestPermits,
-    val mayIssue: () -> Boolean,
-    val onNoLimitNamed: OnNoLimitNamed,
-)
-
 /** Dependencies of the coordinator's tasks that exist for longer than a term. */
 class CoordinatorDependencies(
     val ports: PlatformPorts,
@@ -106,7 +96,7 @@
             CoordinatorTerm(
                 batches,
                 issuer,
-                dependencies.targets.limits.mayIssue,
+                dependencies.targets.limits.permits.mayIssue,
                 dependencies.batchStore,
                 dependencies.call,
                 dependencies.ports.emptiedStatus,
@@ -176,7 +166,7 @@
                 dependencies.targets.connections,
                 dependencies.targets.directory,
                 dependencies.targets.pace,
-                dependencies.targets.limits.onNoLimitNamed,
+                dependencies.targets.limits::onNoLimitNamed,
                 clock,
             ),
         directory = dependencies.targets.directory,
@@ -197,7 +187,7 @@
             ScoreCall(
                 dependencies.ports.targets,
                 dependencies.targets.connections,
-                dependencies.targets.limits.onNoLimitNamed,
+                dependencies.targets.limits::onNoLimitNamed,
             ) { target, load -> dependencies.targets.loads.recordLoad(target.id, load, clock()) },
         targets = ScoringTargets(dependencies.targets.directory, dependencies.targets.loads),
         clock = clock,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -31,14 +31,14 @@
 import io.guavashore.edge.forward.TargetLoads
 import io.guavashore.edge.front.Frontend
 import io.guavashore.edge.limits.Fleet
+import io.guavashore.edge.limits.LimitReceivers
 import io.guavashore.edge.limits.PermitDecision
 import io.guavashore.edge.limits.PermitRequest
-import io.guavashore.edge.limits.RateStatement
+import io.guavashore.edge.limits.RequestLimits
 import io.guavashore.edge.limits.RequestPermits
 import io.guavashore.edge.limits.TargetRateLimit
 import io.guavashore.edge.limits.TargetRateLimits
 import io.guavashore.edge.peers.Heartbeat
-import io.guavashore.edge.peers.NewPeers
 import io.guavashore.edge.peers.PeerCall
 import io.guavashore.edge.peers.PeerEvents
 import io.guavashore.edge.peers.PeerMesh
@@ -58,7 +58,6 @@
 import io.guavashore.platform.CollectionName
 import io.guavashore.platform.EntryChange
 import kotlinx.coroutines.delay
-import java.util.concurrent.TimeUnit
 
 private val log = KotlinLogging.logger {}
 
@@ -102,7 +101,6 @@
         )
     private val connections = TargetConnectionPool(HttpDialer(loop), onResponseHead = ::onResponseHead)
     private val loads = TargetLoads()
-    private val newPeers = NewPeers(clock)
     private val rateLimits = TargetRateLimits(clock, directory::bornAtMs)
     private val permits =
         RequestPermits(
@@ -113,21 +111,27 @@
             clock = clock,
             wallClock = wallClock,
         )
+    private val limits: RequestLimits =
+        RequestLimits(
+            rates = rateLimits,
+            permits = permits,
+            receivers =
+                LimitReceivers(
+                    sendToAll = { mesh.broadcast(PeerMessage.RateLimits(it)) },
+                    alive = { mesh.alive().size },
+                ),
+            clock = clock,
+            onChanged = { coordinatorTasks.onSharedStateChanged() },
+        )
     private val batchStore = BatchStore(store::call, clock)
-    private val coordinatorTasks =
+    private val coordinatorTasks: CoordinatorTasks =
         CoordinatorTasks(
             CoordinatorDependencies(
                 ports,
                 settings,
                 batchStore,
                 store::call,
-                TargetComponents(
-                    directory,
-                    connections,
-                    loads,
-                    EnginePace(),
-                    RequestLimits(rateLimits, permits, ::mayIssuePermits, ::onNoLimitNamed),
-                ),
+                TargetComponents(directory, connections, loads, EnginePace(), limits),
                 sharedState,
                 usage,
             ),
@@ -159,7 +163,7 @@
             errorResponder = ErrorResponder(ports.callers, metrics),
             poison = PoisonList(clock),
             recordUsage = usage::count,
-            onNoLimitNamed = ::onNoLimitNamed,
+            onNoLimitNamed = limits::onNoLimitNamed,
             clock = clock,
         )
     private val frontend =
@@ -192,7 +196,7 @@
             VmRegistration(vmRecord, SharedCollections.VMS, catalog, store::call).ensureRegistered()
         }
         loop.scope.launchWithRestart("coordinator") { coordinator.run() }
-        loop.scope.launchWithRestart("request limits") { repeatRateLimits() }
+        loop.scope.launchWithRestart("request limits") { limits.repeatToPeers { coordinator.isActive } }
     }
 
     /** Hands over the coordinator's tasks, stops accepting callers and waits for active requests; returns when done. */
@@ -223,7 +227,7 @@
                 if (receiver == null || receiver in coordinator.usageReporters()) usage.ownCounts() else emptyList(),
             storeReachable = store.isReachable,
             stopping = stopping,
-            rateLimits = if (receiver != null && newPeers.isNew(receiver)) rateLimits.inForce() else emptyList(),
+            rateLimits = limits.forHeartbeat(receiver),
         )
 
     override fun needsFastFailureDetection() = coordinator.holdsLease()
@@ -232,8 +236,7 @@
         medianClock.onHeartbeat(heartbeat.vmRecord.vm, heartbeat.wallMs)
         usage.merge(heartbeat.vmRecord.vm, heartbeat.vmRecord.incarnation, heartbeat.usage)
         heartbeat.leaseState?.let(coordinator::onLeaseState)
-        newPeers.onHeartbeat(heartbeat.vmRecord)
-        onRateLimits(heartbeat.rateLimits)
+        limits.onHeartbeat(heartbeat)
         sync.changesToRequest(heartbeat).forEach { mesh.send(heartbeat.vmRecord.vm, it) }
     }
 
@@ -247,30 +250,7 @@
         if (directory.recordLeaving(leaving.target, leaving.bornAtMs)) coordinatorTasks.onSharedStateChanged()
     }
 
-    override fun onRateLimits(limits: List<TargetRateLimit>) {
-        val news = limits.map(rateLimits::onPeerLimit)
-        if (news.any { it }) coordinatorTasks.onSharedStateChanged()
-    }
-
-    private fun onNoLimitNamed(
-        target: TargetId,
-        sentAtNs: Long,
-    ) = publish(rateLimits.recordAbsent(target, TimeUnit.NANOSECONDS.toMillis(sentAtNs)))
-
-    private fun publish(changed: TargetRateLimit?) {
-        if (changed == null) return
-        mesh.broadcast(PeerMessage.RateLimits(listOf(changed)))
-        coordinatorTasks.onSharedStateChanged()
-    }
-
-    /** Repeats the limits in force to all peers, since those that were not connected have missed the changes. */
-    private suspend fun repeatRateLimits() {
-        while (true) {
-            val limits = if (coordinator.isActive) rateLimits.inForce() else emptyList()
-            if (limits.isNotEmpty()) mesh.broadcast(PeerMessage.RateLimits(limits))
-            delay(maxOf(RATE_LIMITS_INTERVAL_MS, limits.size * mesh.alive().size / MAX_LIMITS_PER_MS))
-        }
-    }
+    override fun onRateLimits(limits: List<TargetRateLimit>) = this.limits.onPeerLimits(limits)
 
     private suspend fun askForPermits(requests: List<PermitRequest>): List<PermitDecision>? =
         (callCoordinator(PeerCall.Permits(requests), PERMITS_TIMEOUT_MS) as? PeerReply.Permits)?.decisions
@@ -288,8 +268,7 @@
         target: TargetId,
         head: ResponseHead,
     ) {
-        val rate = ports.targets.rateStatement(head)
-        if (rate is RateStatement.Limited) publish(rateLimits.recordNamed(target, rate.requestsPerS))
+        limits.onResponse(target, ports.targets.rateStatement(head))
         if (!ports.targets.announcesLeaving(head)) return
         val bornAtMs = directory.bornAtMs(target)
         if (!directory.recordLeaving(target, bornAtMs)) return
@@ -374,12 +353,6 @@
         /** Well below a third of the lease's duration, so that a timed-out renewal is repeated before expiry. */
         const val LEASE_TIMEOUT_MS = 500L
 
-        /** Less than the time within which all VMs must keep to a limit. */
-        const val RATE_LIMITS_INTERVAL_MS = 500L
-
-        /** Limits sent by the coordinator, counted for each receiver; a limit takes about 40 bytes. */
-        const val MAX_LIMITS_PER_MS = 3L
-
         /** Far above a round trip between regions; without a reply, this VM uses its turns. */
         const val PERMITS_TIMEOUT_MS = 300L
 
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/limits/RequestPermitsTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/limits/RequestPermitsTest.kt
@@ -69,6 +69,12 @@
             val suspended = assertNotNull(permits.await(target, maxWaitMs = 0))
             wallOffsetMs += 5_000
             assertFalse(suspended.isValid())
+            val decidedLate =
+                permits(limits(10.0)) { requests ->
+                    wallOffsetMs += 5_000
+                    requests.map { PermitDecision.Granted(target, waitMs = 0) }
+                }
+            assertFalse(assertNotNull(decidedLate.await(target, maxWaitMs = 0)).isValid())
         }
 
     @Test
