Lint: line lengths, and one observer for what the forwarder learns from responses

Change: comments wrapped; ResponseObserver holds the two callbacks of Forwarder. No change of behaviour.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -52,6 +52,12 @@
 /** Records that a request of an organisation began to run. */
 typealias RecordUsage = (OrganisationId) -> Unit
 
+/** Receives what responses of targets tell beyond the call: that a request ran, and that a target has no limit. */
+class ResponseObserver(
+    val recordUsage: RecordUsage,
+    val onNoLimitNamed: OnNoLimitNamed,
+)
+
 /** Forwards the requests that callers send to one VM. Not thread-safe. */
 class Forwarder(
     private val chooser: TargetChooser,
@@ -61,8 +67,7 @@
     private val targets: TargetProtocol,
     private val errorResponder: ErrorResponder,
     private val poison: PoisonList,
-    private val recordUsage: RecordUsage,
-    private val onNoLimitNamed: OnNoLimitNamed,
+    private val observer: ResponseObserver,
     private val clock: MonotonicClock,
 ) {
     private val streams = StreamForwarder(targets, clock)
@@ -179,7 +184,7 @@
         if (metadata.notRun || head.status == MISDIRECTED) return handleNotRun(target, head, connection)
         recordUsageOnce(call)
         if (!metadata.isGenuine) return rejectResponse(call, target, connection)
-        if (metadata.rate == RateStatement.Unlimited) onNoLimitNamed(target.id, connection.sentAtNs)
+        if (metadata.rate == RateStatement.Unlimited) observer.onNoLimitNamed(target.id, connection.sentAtNs)
         val isStream = call.route.kind == RouteKind.STREAMING && head.status < FIRST_ERROR_STATUS
         return when {
             isStream -> forwardStream(call, head, connection)
@@ -242,7 +247,7 @@
     private fun recordUsageOnce(call: ForwardedCall) {
         if (call.usageRecorded) return
         call.usageRecorded = true
-        call.organisation?.let(recordUsage)
+        call.organisation?.let(observer.recordUsage)
     }
 
     private fun respondUnplaced(
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
@@ -2,8 +2,9 @@
  * Chooses the target of the next attempt of a call, and obtains a permit if the target limits its requests.
  *
  * Load pattern: some targets of a service limit their requests to a fraction of what arrives. A target without a limit
- * takes what it has slots for. Beyond that, the limited ones take what their limits allow, and a call that finds no room
- * waits for the next permit if that comes in time. Any other call is refused at once, with the time of the next permit.
+ * takes what it has slots for. Beyond that, the limited ones take what their limits allow, and a call that finds no
+ * room waits for the next permit if that comes in time. Any other call is refused at once, with the time of the next
+ * permit.
  */
 package io.guavashore.edge.forward
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/PermitIssuer.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/PermitIssuer.kt
@@ -2,9 +2,9 @@
  * Issues the permits for all VMs; runs on the coordinator. One schedule per target divides its rate exactly, however
  * many VMs there are, which of them have work, and however small the rate is.
  *
- * Load pattern: some VMs have most of the requests, and the coordinator itself sends all items. Requests that may wait are
- * given the next free time of a target; all others, among them the coordinator's own items, use what is free at the
- * moment.
+ * Load pattern: some VMs have most of the requests, and the coordinator itself sends all items. Requests that may wait
+ * are given the next free time of a target; all others, among them the coordinator's own items, use what is free at
+ * the moment.
  */
 package io.guavashore.edge.limits
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
@@ -36,8 +36,8 @@
 /**
  * The registered VMs, and the wall clock that they agree on.
  *
- * @property mayIssue true while this VM is the coordinator and no other VM can be: another one may issue permits as soon
- * as the lease of this one has expired, unless this one would have heard of it
+ * @property mayIssue true while this VM is the coordinator and no other VM can be: another one may issue permits as
+ * soon as the lease of this one has expired, unless this one would have heard of it
  */
 class Fleet(
     val self: VmId,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RotatingTurns.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RotatingTurns.kt
@@ -1,10 +1,10 @@
 /*
  * Divides a target's rate among the VMs while no coordinator issues permits.
  *
- * Load pattern: the coordinator is lost or cut off for some seconds, and VMs that can't reach each other send to the same
- * target. Time is divided into turns of one request, which go to the VMs in rotation; so the sum holds without any
- * message, and VMs with a long interval between their turns don't send all at once. All registered VMs have turns, also
- * those that are cut off, because they may still reach the target.
+ * Load pattern: the coordinator is lost or cut off for some seconds, and VMs that can't reach each other send to the
+ * same target. Time is divided into turns of one request, which go to the VMs in rotation; so the sum holds without any
+ * message, and VMs with a long interval between their turns don't send all at once. All registered VMs have turns,
+ * also those that are cut off, because they may still reach the target.
  */
 package io.guavashore.edge.limits
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/TargetRateLimits.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/TargetRateLimits.kt
@@ -1,8 +1,8 @@
 /*
  * Limits that targets in trouble set on the rate of their requests, as known to one VM.
  *
- * A target names its limit in its responses for as long as the limit is in force. Any response may name it, so a limit is
- * adopted from every one; it is lifted only by a genuine response to a request that was sent after the limit was
+ * A target names its limit in its responses for as long as the limit is in force. Any response may name it, so a limit
+ * is adopted from every one; it is lifted only by a genuine response to a request that was sent after the limit was
  * learned, because a late copy of an earlier response names none.
  */
 package io.guavashore.edge.limits
@@ -27,7 +27,7 @@
     val requestsPerS: Double?,
 )
 
-/** Called with a genuine response that names no limit; `sentAtNs` is the monotonic time at which its request was sent. */
+/** Called for a genuine response that names no limit; `sentAtNs` is the monotonic time when its request was sent. */
 typealias OnNoLimitNamed = (target: TargetId, sentAtNs: Long) -> Unit
 
 /**
@@ -55,7 +55,7 @@
     fun inForce(): List<TargetRateLimit> =
         known.keys.mapNotNull { target -> of(target)?.let { TargetRateLimit(target, bornAtMs(target), it) } }
 
-    /** Records that a response of [target] names a limit. Returns the change for the other VMs; null if there is none. */
+    /** Records that a response of [target] names a limit. Returns the change for the other VMs; null if none. */
     fun recordNamed(
         target: TargetId,
         requestsPerS: Double,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -27,6 +27,7 @@
 import io.guavashore.edge.forward.ErrorResponder
 import io.guavashore.edge.forward.Forwarder
 import io.guavashore.edge.forward.PoisonList
+import io.guavashore.edge.forward.ResponseObserver
 import io.guavashore.edge.forward.TargetChooser
 import io.guavashore.edge.forward.TargetLoads
 import io.guavashore.edge.front.Frontend
@@ -162,8 +163,7 @@
             targets = ports.targets,
             errorResponder = ErrorResponder(ports.callers, metrics),
             poison = PoisonList(clock),
-            recordUsage = usage::count,
-            onNoLimitNamed = limits::onNoLimitNamed,
+            observer = ResponseObserver(recordUsage = usage::count, onNoLimitNamed = limits::onNoLimitNamed),
             clock = clock,
         )
     private val frontend =
@@ -255,7 +255,7 @@
     private suspend fun askForPermits(requests: List<PermitRequest>): List<PermitDecision>? =
         (callCoordinator(PeerCall.Permits(requests), PERMITS_TIMEOUT_MS) as? PeerReply.Permits)?.decisions
 
-    /** A coordinator that reaches most VMs hears of a successor from them, so it may go on after its lease has expired. */
+    /** A coordinator that reaches most VMs would hear of a successor, so it may go on after its lease has expired. */
     private fun mayIssuePermits(): Boolean {
         if (!coordinator.isActive) return false
         return coordinator.holdsLease() || (mesh.alive().size + 1) * 2 > catalog.entries(SharedCollections.VMS).size
