Targets' software versions are read and logged

Change: TargetEntry.software, read from the entry; RequestMetadata.resumes; logged when a target is listed, when a stream begins at a target and when an item's run ends.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
@@ -155,7 +155,8 @@
             is RunOutcome.Broken -> handleInterruption(run, outcome, eventsBefore)
         }
         log.info {
-            "item run ended: item=${item.spec.id} batch=${item.batch.id} engine=${run.engine} outcome=$outcome " +
+            "item run ended: item=${item.spec.id} batch=${item.batch.id} engine=${run.engine} " +
+                "software=${directory[run.engine]?.software} outcome=$outcome " +
                 "events=${item.progress.size} from=$eventsBefore ms=${clock() - run.startedMs} " +
                 "estimate_tokens=${item.spec.expectedOutputTokens} most_tokens=${item.spec.maxOutputTokens} " +
                 "prompt_tokens=${item.spec.promptTokens}"
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -187,7 +187,7 @@
         if (metadata.rate == RateStatement.Unlimited) observer.onNoLimitNamed(target.id, connection.sentAtNs)
         val isStream = call.route.kind == RouteKind.STREAMING && head.status < FIRST_ERROR_STATUS
         return when {
-            isStream -> forwardStream(call, head, connection)
+            isStream -> forwardStream(call, target, head, connection)
             call.exchange.hasBegun -> rejectResponse(call, target, connection)
             else -> forwardBuffered(call, target, head, connection)
         }
@@ -195,10 +195,11 @@
 
     private suspend fun forwardStream(
         call: ForwardedCall,
+        target: TargetEntry,
         head: ResponseHead,
         connection: HttpConnection,
     ): AttemptOutcome? {
-        val outcome = streams.forward(call, head, connection)
+        val outcome = streams.forward(call, target, head, connection)
         call.responseCompleted = outcome == null
         return if (outcome != null && call.mustAbortOnFailure) abort(call) else outcome
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
@@ -8,6 +8,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
+import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.targets.EventReader
 import io.guavashore.edge.targets.StreamEvent
 import io.guavashore.edge.targets.StreamIdleTimer
@@ -38,9 +39,15 @@
      */
     suspend fun forward(
         call: ForwardedCall,
+        target: TargetEntry,
         head: ResponseHead,
         connection: HttpConnection,
     ): AttemptOutcome? {
+        log.info {
+            "stream from target: request=${call.metadata.requestId} target=${target.id} software=${target.software} " +
+                "resumes=${call.metadata.resumes} " +
+                "after_event=${call.stream.lastEventId ?: call.metadata.lastEventId}"
+        }
         val version = targets.metadata(head).weightVersion
         if (call.exchange.hasBegun) {
             if (version != call.stream.weightVersion) return interrupted(call, "weight version changed to $version")
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/CallerProtocol.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/CallerProtocol.kt
@@ -18,12 +18,14 @@
  *
  * @property deadlineInMs time that the caller waits for the response, counted from the arrival of the request
  * @property lastEventId id of the last event that the caller has received; the stream resumes after it
+ * @property resumes id of the request that brought the first event of the stream that the caller resumes
  */
 data class RequestMetadata(
     val requestId: String?,
     val apiKey: String?,
     val deadlineInMs: Long?,
     val lastEventId: Long?,
+    val resumes: String? = null,
 )
 
 /** Call that refers to a batch submitted earlier. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
@@ -48,10 +48,11 @@
         val known = entries[id]
         if (known?.bornAtMs != entry.bornAtMs) observedVersions.remove(id)
         if (id in leaving && leaving[id] != entry.bornAtMs) leaving.remove(id)
-        if (known == null || known.isLeaving != entry.isLeaving) {
+        if (known == null || known.isLeaving != entry.isLeaving || known.software != entry.software) {
             log.info {
                 "target listed: target=$id service=${entry.service} at=${entry.endpoint} zone=${entry.zone} " +
-                    "leaving=${entry.isLeaving} spot=${entry.isSpot} versions=${entry.versions} " +
+                    "leaving=${entry.isLeaving} spot=${entry.isSpot} software=${entry.software} " +
+                    "versions=${entry.versions} " +
                     "revision=${change.entry.revision}"
             }
         }
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/targets/TargetDirectoryTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/targets/TargetDirectoryTest.kt
@@ -4,6 +4,7 @@
 import io.guavashore.api.ServiceId
 import io.guavashore.api.TargetId
 import io.guavashore.api.ZoneId
+import io.guavashore.edge.declared.SoftwareVersion
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.platform.EntryChange
 import io.guavashore.platform.StoredEntry
@@ -29,6 +30,7 @@
             zone = ZoneId("z1"),
             slots = 4,
             isLeaving = entry.content.endsWith("leaving"),
+            software = SoftwareVersion("v1"),
             bornAtMs = entry.content.substringBefore(' ').toLong(),
         )
 
