A stream goes on within its response only at the software version that began it

Cause: when a target broke a resumable stream off, the next attempt took any target of the route that had the same weights; the software version of a target was not known to the chooser. Change: a stream keeps the origin (service and software version) of its first event, and later attempts are made at targets of that origin only. If there is none, the response is cut off, as it is when no target is left. Test: SoftwareVersionsTest failed before ("ran on both versions ==> expected: <null> but was: <[2]>") and passes now.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
@@ -2,13 +2,15 @@
  * Forwards an event stream, event by event.
  *
  * If a resumable stream is interrupted, another target continues it within the same response. The next attempt requests
- * the events after the last one that the caller has received, and must use the same version of the weights.
+ * the events after the last one that the caller has received, and must use the same version of the weights and of the
+ * software.
  */
 package io.guavashore.edge.forward
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
 import io.guavashore.edge.declared.TargetEntry
+import io.guavashore.edge.streams.StreamOrigin
 import io.guavashore.edge.targets.EventReader
 import io.guavashore.edge.targets.StreamEvent
 import io.guavashore.edge.targets.StreamIdleTimer
@@ -22,10 +24,12 @@
  * Progress of the stream that is sent to a caller.
  *
  * @property lastEventId id of the last event sent; null if there is none
+ * @property origin origin of the first event; null if there is none
  * @property weightVersion version of the weights that produced the stream; null if the target did not state it
  */
 class StreamProgress {
     var lastEventId: Long? = null
+    var origin: StreamOrigin? = null
     var weightVersion: Long? = null
 }
 
@@ -55,11 +59,12 @@
             call.exchange.begin(ResponseHead(head.status, targets.responseHeaders(head)))
             call.stream.weightVersion = version
         }
-        return forwardEvents(call, connection)
+        return forwardEvents(call, target, connection)
     }
 
     private suspend fun forwardEvents(
         call: ForwardedCall,
+        target: TargetEntry,
         connection: HttpConnection,
     ): AttemptOutcome? {
         val reader = EventReader()
@@ -68,7 +73,7 @@
         while (true) {
             val part = connection.nextPartWithin(idleTimer.waitMs(timeoutMs)) ?: return timedOut(call, timeoutMs)
             val events = reader.take(part.bytes ?: break)
-            if (!events.all { forward(call, it) }) return interrupted(call, "event id out of sequence")
+            if (!events.all { forward(call, target, it) }) return interrupted(call, "event id out of sequence")
             if (events.any { !it.isComment }) idleTimer.eventReceived()
             if (idleTimer.hasExceeded(timeoutMs)) return timedOut(call, timeoutMs)
         }
@@ -91,6 +96,7 @@
     /** Forwards [event]; returns false if its id does not follow the last one. */
     private suspend fun forward(
         call: ForwardedCall,
+        target: TargetEntry,
         event: StreamEvent,
     ): Boolean {
         val last = call.stream.lastEventId
@@ -99,6 +105,7 @@
         call.stream.weightVersion =
             event.lines.firstNotNullOfOrNull(targets.eventVersion) ?: call.stream.weightVersion
         call.stream.lastEventId = id ?: last
+        if (!event.isComment && call.stream.origin == null) call.stream.origin = StreamOrigin.of(target)
         call.exchange.write(event.raw)
         return true
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
@@ -84,6 +84,7 @@
                 .filter { it.weight > 0 }
                 .flatMap { directory.usable(it.service) }
                 .filter { it.id !in call.tried }
+                .filter { call.stream.origin?.includes(it) ?: true }
         val service = loads.serviceFor(call.route, untried) ?: return emptyList()
         val ofService = untried.filter { it.service == service }
         return ofService.filterNot { directory.isSuspect(it.id) }.ifEmpty { ofService }
