A stream that its caller resumes goes on only at the software version that began it

Cause: a resuming request was forwarded as a new one. No VM knew where the stream had begun, and what one VM could have known was lost with it. Copying the origin of every stream to the store always: a write per stream or a steady load of writes in the normal case. Change: a software version is recorded in the store before the first stream goes to it, so while the record names one version the origin of every stream is known. A resumed stream is looked up in memory, in the record, in the copies, and is refused at once if its origin is unknown or has left.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -13,6 +13,8 @@
 import io.guavashore.edge.front.RequestMetadata
 import io.guavashore.edge.limits.OnNoLimitNamed
 import io.guavashore.edge.limits.RateStatement
+import io.guavashore.edge.streams.StreamId
+import io.guavashore.edge.streams.StreamOrigin
 import io.guavashore.edge.targets.ForwardingContext
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
@@ -45,6 +47,13 @@
     val tried = HashSet<TargetId>()
     val stream = StreamProgress()
 
+    /** True if the caller resumes a stream that an earlier request began. */
+    val resumesStream: Boolean
+        get() = route.kind == RouteKind.STREAMING && (metadata.resumes != null || metadata.lastEventId != null)
+
+    /** Id of the stream that the response belongs to; null if the caller named none. */
+    val streamId: StreamId? get() = (if (resumesStream) metadata.resumes else metadata.requestId)?.let(::StreamId)
+
     /** True if the response has begun and can't be resumed on another target. */
     val mustAbortOnFailure: Boolean get() = exchange.hasBegun && !route.isResumable
 }
@@ -52,10 +61,17 @@
 /** Records that a request of an organisation began to run. */
 typealias RecordUsage = (OrganisationId) -> Unit
 
-/** Receives what responses of targets tell beyond the call: that a request ran, and that a target has no limit. */
+/** Records the origin of a stream, which its caller may resume for [resumableForMs]; null if that is unknown. */
+typealias RecordOrigin = (stream: StreamId, origin: StreamOrigin, resumableForMs: Long?) -> Unit
+
+/**
+ * Receives what responses of targets tell beyond the call: that a request ran, that a target has no limit, and where a
+ * stream began.
+ */
 class ResponseObserver(
     val recordUsage: RecordUsage,
     val onNoLimitNamed: OnNoLimitNamed,
+    val recordOrigin: RecordOrigin,
 )
 
 /** Forwards the requests that callers send to one VM. Not thread-safe. */
@@ -70,7 +86,7 @@
     private val observer: ResponseObserver,
     private val clock: MonotonicClock,
 ) {
-    private val streams = StreamForwarder(targets, clock)
+    private val streams = StreamForwarder(targets, observer.recordOrigin, clock)
 
     /** Returns once the response to the caller has been sent or aborted. */
     suspend fun forward(call: ForwardedCall) {
@@ -259,7 +275,13 @@
         if (choice is TargetChoice.RateLimited) {
             return errorResponder.refuse(call, UNAVAILABLE, "all targets limit their requests", choice.retryAfterMs)
         }
-        errorResponder.refuse(call, UNAVAILABLE, "no target of the service is available", NO_TARGET_RETRY_AFTER_MS)
+        val reason =
+            when {
+                choice is TargetChoice.UnknownOrigin -> "the software version that began the stream is not known"
+                call.stream.origin != null -> "no target runs ${call.stream.origin}, which began the stream"
+                else -> "no target of the service is available"
+            }
+        errorResponder.refuse(call, UNAVAILABLE, reason, NO_TARGET_RETRY_AFTER_MS)
     }
 
     /** Wraps the result of an attempt, to distinguish a null outcome from a timeout. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
@@ -24,17 +24,20 @@
  * Progress of the stream that is sent to a caller.
  *
  * @property lastEventId id of the last event sent; null if there is none
- * @property origin origin of the first event; null if there is none
+ * @property origin origin of the stream's first event; null if there is none
+ * @property isRecorded true once the origin has been recorded for later requests that resume the stream
  * @property weightVersion version of the weights that produced the stream; null if the target did not state it
  */
 class StreamProgress {
     var lastEventId: Long? = null
     var origin: StreamOrigin? = null
+    var isRecorded = false
     var weightVersion: Long? = null
 }
 
 internal class StreamForwarder(
     private val targets: TargetProtocol,
+    private val recordOrigin: RecordOrigin,
     private val clock: MonotonicClock,
 ) {
     /**
@@ -105,11 +108,22 @@
         call.stream.weightVersion =
             event.lines.firstNotNullOfOrNull(targets.eventVersion) ?: call.stream.weightVersion
         call.stream.lastEventId = id ?: last
-        if (!event.isComment && call.stream.origin == null) call.stream.origin = StreamOrigin.of(target)
+        if (!event.isComment) recordOriginOnce(call, target)
         call.exchange.write(event.raw)
         return true
     }
 
+    /** A resumed stream is recorded too, since the VM that began it may be lost meanwhile. */
+    private fun recordOriginOnce(
+        call: ForwardedCall,
+        target: TargetEntry,
+    ) {
+        if (call.stream.isRecorded) return
+        call.stream.isRecorded = true
+        val origin = call.stream.origin ?: StreamOrigin.of(target).also { call.stream.origin = it }
+        call.streamId?.let { recordOrigin(it, origin, call.metadata.deadlineInMs) }
+    }
+
     private fun interrupted(
         call: ForwardedCall,
         reason: String,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
@@ -11,10 +11,13 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.ZoneId
+import io.guavashore.edge.declared.RouteKind
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.limits.Permit
 import io.guavashore.edge.limits.PermitOutcome
 import io.guavashore.edge.limits.RequestPermits
+import io.guavashore.edge.streams.AdmittedVersions
+import io.guavashore.edge.streams.StreamOriginLookup
 import io.guavashore.edge.targets.TargetDirectory
 import kotlinx.coroutines.delay
 
@@ -32,6 +35,9 @@
         val retryAfterMs: Long,
     ) : TargetChoice
 
+    /** The call resumes a stream, and it is not known where that stream began. */
+    data object UnknownOrigin : TargetChoice
+
     /** No target of the route that the call has not tried is listed. */
     data object NoTarget : TargetChoice
 }
@@ -42,10 +48,16 @@
     private val directory: TargetDirectory,
     private val loads: TargetLoads,
     private val permits: RequestPermits,
+    private val streamOrigins: StreamOriginLookup,
+    private val admittedVersions: AdmittedVersions,
     private val clock: MonotonicClock,
 ) {
     /** Chooses a target that [call] has not tried. Suspends until the permit for it may be used. */
     suspend fun choose(call: ForwardedCall): TargetChoice {
+        if (call.resumesStream && call.stream.origin == null) {
+            val services = call.route.backends.map { it.service }
+            call.stream.origin = streamOrigins.find(call.streamId, services) ?: return TargetChoice.UnknownOrigin
+        }
         val candidates = candidates(call)
         val (limited, free) = candidates.partition { permits.isLimited(it.id) }
         val best = loads.pick(free, zone)
@@ -78,18 +90,27 @@
         return TargetChoice.Chosen(target, permit)
     }
 
-    private fun candidates(call: ForwardedCall): List<TargetEntry> {
+    private suspend fun candidates(call: ForwardedCall): List<TargetEntry> {
         val untried =
             call.route.backends
                 .filter { it.weight > 0 }
                 .flatMap { directory.usable(it.service) }
                 .filter { it.id !in call.tried }
-                .filter { call.stream.origin?.includes(it) ?: true }
+                .let { if (call.route.kind == RouteKind.STREAMING) streamTargets(call, it) else it }
         val service = loads.serviceFor(call.route, untried) ?: return emptyList()
         val ofService = untried.filter { it.service == service }
         return ofService.filterNot { directory.isSuspect(it.id) }.ifEmpty { ofService }
     }
 
+    /** Those of [targets] at which the stream of [call] may begin or go on. */
+    private suspend fun streamTargets(
+        call: ForwardedCall,
+        targets: List<TargetEntry>,
+    ): List<TargetEntry> {
+        val origin = call.stream.origin ?: return admittedVersions.admit(targets)
+        return targets.filter(origin::includes)
+    }
+
     /** Time for which [call] may wait so that its target still has time to respond. */
     private fun maxWaitMs(call: ForwardedCall): Long {
         val leftMs = call.deadlineMs - clock()
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -5,6 +5,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
+import io.guavashore.api.ServiceId
 import io.guavashore.api.TargetId
 import io.guavashore.api.VmId
 import io.guavashore.api.WallClock
@@ -47,6 +48,11 @@
 import io.guavashore.edge.peers.PeerReply
 import io.guavashore.edge.peers.RelayingStore
 import io.guavashore.edge.peers.VmRecord
+import io.guavashore.edge.streams.AdmittedVersions
+import io.guavashore.edge.streams.StreamOrigin
+import io.guavashore.edge.streams.StreamOriginArchive
+import io.guavashore.edge.streams.StreamOriginLookup
+import io.guavashore.edge.streams.StreamOrigins
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
 import io.guavashore.metrics.Metrics
@@ -154,16 +160,29 @@
             sendHeartbeats = mesh::pingAll,
         )
     private val batchGateway = BatchGateway(batchStore, ::callCoordinator, clock)
+    private val streamOrigins = StreamOrigins(clock)
+    private val admittedVersions = AdmittedVersions(loop.scope, store::call)
+    private val streamArchive =
+        StreamOriginArchive(
+            vmRecord = vmRecord,
+            scope = loop.scope,
+            origins = streamOrigins,
+            servicesToCopy = ::servicesWithSeveralVersions,
+            vmCount = { mesh.alive().size + 1 },
+            call = store::call,
+            wallClock = medianClock::nowMs,
+        )
+    private val streamLookup = StreamOriginLookup(streamOrigins, admittedVersions, streamArchive)
     private val forwarder =
         Forwarder(
-            chooser = TargetChooser(settings.zone, directory, loads, permits, clock),
+            chooser = TargetChooser(settings.zone, directory, loads, permits, streamLookup, admittedVersions, clock),
             directory = directory,
             connections = connections,
             loads = loads,
             targets = ports.targets,
             errorResponder = ErrorResponder(ports.callers, metrics),
             poison = PoisonList(clock),
-            observer = ResponseObserver(recordUsage = usage::count, onNoLimitNamed = limits::onNoLimitNamed),
+            observer = ResponseObserver(usage::count, limits::onNoLimitNamed, streamOrigins::record),
             clock = clock,
         )
     private val frontend =
@@ -196,6 +215,7 @@
             VmRegistration(vmRecord, SharedCollections.VMS, catalog, store::call).ensureRegistered()
         }
         loop.scope.launchWithRestart("coordinator") { coordinator.run() }
+        loop.scope.launchWithRestart("stream origins") { streamArchive.run() }
         loop.scope.launchWithRestart("request limits") { limits.repeatToPeers { coordinator.isActive } }
     }
 
@@ -299,6 +319,14 @@
             coordinatorTasks.handleCall(call)
         }
 
+    /** Services of which this VM knows more than one software version, listed now or admitted before. */
+    private fun servicesWithSeveralVersions(): Set<ServiceId> =
+        directory
+            .all()
+            .groupBy({ it.service }, { it.software })
+            .filter { (service, listed) -> (listed + admittedVersions.lastKnown(service)).distinct().size > 1 }
+            .keys
+
     /** Calls the coordinator; null if it is unknown or does not reply within [timeoutMs]. */
     private suspend fun callCoordinator(
         call: PeerCall,
@@ -324,6 +352,7 @@
         if (collection == SharedCollections.TARGETS) {
             val targets = directory.all().mapTo(HashSet()) { it.id }
             connections.retain(targets)
+            admittedVersions.retain(directory.all().mapTo(HashSet()) { StreamOrigin.of(it) })
             rateLimits.retain(targets)
         }
         coordinatorTasks.onSharedStateChanged()
