Replicated text: a text that was generated anew replaces the earlier one

Cause: the replicator took a text for replaced only if it had become shorter than what was sent. A text that was discarded and grew again within one replication interval (300 ms, an event takes about 40 ms) was continued after the events of the earlier run. Change: a text carries the number of its restarts; the replicator sends a text with another number from its start.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemProgress.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemProgress.kt
@@ -34,6 +34,10 @@
 ) {
     private val events = ArrayList<TextEvent>()
 
+    /** Number of times the text was discarded; events under different numbers belong to different texts. */
+    var restarts = 0
+        private set
+
     val size: Int get() = events.size
 
     /** Id of the last event, after which a new run resumes; null if the item starts from the beginning. */
@@ -50,7 +54,10 @@
     }
 
     /** Discards the text: the item starts from the beginning. */
-    fun clear() = events.clear()
+    fun clear() {
+        events.clear()
+        restarts++
+    }
 
     /**
      * Starts an empty text with the events that were generated for the same item before, up to the first one whose
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/TextReplicator.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/TextReplicator.kt
@@ -12,6 +12,7 @@
 /** Tracks which parts of the texts each standby has been sent. Not thread-safe. */
 class TextReplicator {
     private class Sent(
+        var restarts: Int = 0,
         var events: Int = 0,
         var isTextComplete: Boolean = false,
         var score: Score? = null,
@@ -39,9 +40,10 @@
         sent: Sent,
     ): TextPart? {
         val events = item.progress.events()
-        val from = if (sent.events > events.size) 0 else sent.events
+        val from = if (sent.restarts == item.progress.restarts) sent.events else 0
         val isUpToDate = from == events.size && sent.isTextComplete == item.isTextComplete && sent.score == item.score
         if (isUpToDate) return null
+        sent.restarts = item.progress.restarts
         sent.events = events.size
         sent.isTextComplete = item.isTextComplete
         sent.score = item.score
