Texts of items go on only at the software version that began them

An item whose run broke off, moved to a faster engine, was carried over from an earlier step or was taken over by another coordinator was placed on any engine with new enough weights; events carried the version of the weights only. Ruled out: pinning items to a version for good. A version may leave, or its few engines be full while others are free. Change: an event carries its software version, also in replicas, and a text takes events of one version only. Items are placed on, and moved to, engines of the version of their text; the text is discarded and generated anew if that version has no engine, or has had no room for 600 ms while another engine has. Events without a version, from a VM with an earlier build, are not adopted.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
@@ -75,6 +75,9 @@
     /** Engines on which a run of the item broke off without a new event; the item may have crashed them. */
     val crashedEngines = HashSet<TargetId>()
 
+    /** Monotonic time since which the item has been waiting for an engine with a text; 0 before the first run. */
+    var waitingSinceMs = 0L
+
     /** Monotonic time before which the item is not sent again. */
     var notBeforeMs = 0L
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -170,19 +170,20 @@
             val now = clock()
             if (lastEventMs > 0) pace.record(engine.id, (now - lastEventMs).toDouble())
             lastEventMs = now
-            return add(item, event, eventVersion)
+            return add(item, engine, event, eventVersion)
         }
     }
 
     private fun add(
         item: ItemState,
+        engine: TargetEntry,
         event: StreamEvent,
         version: Long,
     ): RunOutcome? {
         val id = event.id ?: return RunOutcome.Broken("event without an id")
-        return when (val result = item.progress.add(TextEvent(id, event.data, version))) {
+        return when (val result = item.progress.add(TextEvent(id, event.data, version, engine.software))) {
             AppendResult.ADDED -> null
-            AppendResult.OTHER_VERSION -> RunOutcome.Broken("$result", discard = true)
+            AppendResult.OTHER_VERSION, AppendResult.OTHER_SOFTWARE -> RunOutcome.Broken("$result", discard = true)
             AppendResult.OUT_OF_ORDER, AppendResult.TOO_OLD -> RunOutcome.Broken("$result")
         }
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
@@ -73,9 +73,17 @@
     ) {
         val now = clock()
         val demands = waiting.filter { it.notBeforeMs <= now }.mapNotNull { demandOf(it, declaration) }
-        if (demands.isNotEmpty()) {
-            placeItems(demands, engineViews(declaration), config).forEach { start(it) }
+        if (demands.isEmpty()) return
+        val engines = engineViews(declaration)
+        itemsToRestart(demands, engines, now, config).forEach { item ->
+            log.info {
+                "text discarded, no engine can continue it: item=${item.spec.id} batch=${item.batch.id} " +
+                    "software=${item.progress.software} events=${item.progress.size} " +
+                    "waited_ms=${now - item.waitingSinceMs}"
+            }
+            item.progress.clear()
         }
+        placeItems(demands, engines, config).forEach { start(it) }
     }
 
     /** Cancels the run of [item], if there is one. */
@@ -99,6 +107,7 @@
             service = entry.service,
             slots = spec.slots,
             memoryTokens = spec.memoryTokens,
+            software = entry.software,
             versions = directory.versions(entry).filterKeys { engineStatus.serves(entry.id, it) },
             runs = running.map { it.memoryEstimate(config) },
             msPerEvent = pace.of(entry.id),
@@ -130,7 +139,10 @@
             onRunEnded(run, call.run(run.item, engine, permit, leftMs), eventsBefore)
         } finally {
             if (runs[run.item] === run) runs.remove(run.item)
-            if (run.item.phase == ItemPhase.RUNNING) run.item.phase = ItemPhase.WAITING
+            if (run.item.phase == ItemPhase.RUNNING) {
+                run.item.phase = ItemPhase.WAITING
+                run.item.waitingSinceMs = clock()
+            }
             wake()
         }
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
@@ -11,12 +11,14 @@
 import io.guavashore.api.ServiceId
 import io.guavashore.api.TargetId
 import io.guavashore.edge.declared.ModelId
+import io.guavashore.edge.declared.SoftwareVersion
 
 /**
  * Snapshot of an engine for placement.
  *
  * @property slots maximum number of concurrent runs
  * @property memoryTokens capacity of the engine's memory in tokens; 0 if it is not limited
+ * @property software software version of the engine; an item goes on only at the version that began its text
  * @property versions version of the weights that the engine serves, per model
  * @property runs memory estimates of the items that this dispatcher runs on the engine
  * @property msPerEvent measured time between events of a run; null until measured
@@ -29,6 +31,7 @@
     val service: ServiceId,
     val slots: Int,
     val memoryTokens: Int,
+    val software: SoftwareVersion,
     val versions: Map<ModelId, Long>,
     val runs: List<MemoryEstimate>,
     val msPerEvent: Double?,
@@ -83,6 +86,8 @@
     val minMoveSpeedup: Double = 1.7,
     /** Time that a move must save; a move costs a new connection and prompt processing, and estimates are noisy. */
     val minMoveGainMs: Double = 500.0,
+    /** Time for which an item waits for the software version that began its text; generating it anew takes longer. */
+    val maxWaitMs: Long = 600,
     /** A run with less time left than this stays on an engine that starts to load weights. */
     val minRemainingMsToLeaveLoading: Double = 300.0,
 )
@@ -158,7 +163,7 @@
     config: PlacementConfig,
 ): EngineView? {
     val next = demand.item.memoryEstimate(config)
-    val eligible = engines.filter { it.canTake(demand, next, config) }
+    val eligible = engines.filter { it.fitsTextOf(demand.item) && it.canTake(demand, next, config) }
     val preferred = eligible.filter { it.id !in demand.item.avoidedEngines }.ifEmpty { eligible }
     return preferred.minByOrNull { it.costMs(demand, config) }
 }
@@ -174,6 +179,31 @@
     return running == 0 || memoryTokens == 0 || fits(next, memoryTokens * config.maxMemoryShare)
 }
 
+private fun EngineView.fitsTextOf(item: ItemState) = item.progress.size == 0 || item.progress.software == software
+
+/**
+ * Items of [demands] whose texts should be discarded, so that other software versions can generate them anew: no engine
+ * has the version that began the text, or those that have it could not take the item for [PlacementConfig.maxWaitMs]
+ * while another engine could.
+ */
+fun itemsToRestart(
+    demands: List<ItemDemand>,
+    engines: List<EngineView>,
+    nowMs: Long,
+    config: PlacementConfig = PlacementConfig(),
+): List<ItemState> =
+    demands
+        .filter { demand ->
+            val next = demand.item.memoryEstimate(config)
+            val (same, others) = engines.filter { it.service == demand.service }.partition { it.fitsTextOf(demand.item) }
+            val isOverdue = nowMs - demand.item.waitingSinceMs >= config.maxWaitMs
+            when {
+                others.isEmpty() -> false
+                same.isEmpty() -> true
+                else -> isOverdue && same.none { it.canTake(demand, next, config) } && others.any { it.canTake(demand, next, config) }
+            }
+        }.map { it.item }
+
 private fun EngineView.costMs(
     demand: ItemDemand,
     config: PlacementConfig,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ResumableTexts.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ResumableTexts.kt
@@ -48,6 +48,7 @@
     ) = batch.items.filter { it.phase == ItemPhase.WAITING }.forEach { item ->
         val text = texts[item.spec.id] ?: return@forEach
         val adopted = item.progress.adopt(text.events)
+        item.waitingSinceMs = nowMs
         if (!adopted || !text.isTextComplete) return@forEach
         item.score = text.score?.takeIf { it.call == item.spec.scorer?.id }
         batch.complete(item, nowMs)
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchFixtures.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchFixtures.kt
@@ -8,6 +8,7 @@
 import io.guavashore.api.ServiceId
 import io.guavashore.api.TargetId
 import io.guavashore.edge.declared.ModelId
+import io.guavashore.edge.declared.SoftwareVersion
 
 internal val MODEL = ModelId("m0")
 internal val ENGINES = ServiceId("engines")
@@ -63,11 +64,13 @@
     expectedTokens: Int = 0,
     memoryTokens: Int = 84_000,
     isUsable: Boolean = true,
+    software: String = "v1",
 ) = EngineView(
     id = TargetId(id),
     service = ENGINES,
     slots = slots,
     memoryTokens = memoryTokens,
+    software = SoftwareVersion(software),
     versions = mapOf(MODEL to version),
     runs = List(running) { MemoryEstimate(currentTokens = 0, remainingTokens = expectedTokens) },
     msPerEvent = msPerEvent,
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchStateTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchStateTest.kt
@@ -1,5 +1,6 @@
 package io.guavashore.edge.batches
 
+import io.guavashore.edge.declared.SoftwareVersion
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -97,7 +98,8 @@
         private fun event(
             id: Long,
             version: Long = 3,
-        ) = TextEvent(id, "e$id", version)
+            software: String? = "v1",
+        ) = TextEvent(id, "e$id", version, software?.let(::SoftwareVersion))
 
         @Test
         fun `only the event that follows the last one is added`() {
@@ -126,6 +128,24 @@
             assertEquals(AppendResult.OTHER_VERSION, single.add(event(2, version = 4)))
         }
 
+        @Test
+        fun `an event of another software version is rejected`() {
+            progress.add(event(1))
+            assertEquals(AppendResult.OTHER_SOFTWARE, progress.add(event(2, software = "v2")))
+        }
+
+        @Test
+        fun `an earlier text is adopted up to the first event of another software version`() {
+            assertFalse(progress.adopt(listOf(event(1), event(2), event(3, software = "v2"))))
+            assertEquals(2L, progress.lastEventId)
+        }
+
+        @Test
+        fun `an earlier text of an unknown software version is not adopted`() {
+            assertFalse(progress.adopt(listOf(event(1, software = null))))
+            assertEquals(0, progress.size)
+        }
+
         @Test
         fun `an earlier text is adopted up to the first event whose version is too old`() {
             progress.adopt(listOf(event(1, version = 3), event(2, version = 2), event(3, version = 3)))
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/PlacementTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/PlacementTest.kt
@@ -1,5 +1,6 @@
 package io.guavashore.edge.batches
 
+import io.guavashore.edge.declared.SoftwareVersion
 import org.junit.jupiter.api.Nested
 import kotlin.random.Random
 import kotlin.test.Test
@@ -124,6 +125,50 @@
             )
     }
 
+    @Nested
+    inner class `software versions` {
+        private val item =
+            batch("s", listOf(itemSpec("s"))).items.single().apply {
+                progress.add(TextEvent(1, "text", version = 1, SoftwareVersion("v1")))
+                waitingSinceMs = 1_000
+            }
+        private val other = engine("other", software = "v2")
+        private val full = engine("full", running = 12)
+
+        private fun restarts(
+            nowMs: Long,
+            vararg engines: EngineView,
+        ) = itemsToRestart(listOf(demand(item)), engines.toList(), nowMs)
+
+        @Test
+        fun `an item goes on only at the software version that began its text`() {
+            assertEquals(emptyList(), placeItems(listOf(demand(item)), listOf(other)))
+            val placed = placeItems(listOf(demand(item)), listOf(other, engine("same", msPerEvent = 400.0)))
+            assertEquals("same", placed.single().engine.value)
+        }
+
+        @Test
+        fun `a run does not move to a faster engine of another software version`() {
+            val slow = engine("slow", running = 5, msPerEvent = 400.0)
+            assertNull(betterEngine(demand(item), slow, listOf(slow, other)))
+        }
+
+        @Test
+        fun `a text is discarded at once if no engine has its software version`() =
+            assertEquals(listOf(item), restarts(nowMs = 1_000, other))
+
+        @Test
+        fun `a text is discarded if the engines of its software version stay full while another one is free`() {
+            assertEquals(emptyList(), restarts(nowMs = 1_300, full, other))
+            assertEquals(listOf(item), restarts(nowMs = 1_600, full, other))
+            assertEquals(emptyList(), restarts(nowMs = 1_600, full, other.copy(isUsable = false)))
+        }
+
+        @Test
+        fun `a text is kept while no engine is listed, as on a VM that has just taken over`() =
+            assertEquals(emptyList(), restarts(nowMs = 9_000))
+    }
+
     /**
      * Simulates steps of 52 items with skewed lengths on four engines, one of which is 1.3 times slower. The duration
      * of a step is the time at which its last item finishes.
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/TextReplicationTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/TextReplicationTest.kt
@@ -1,6 +1,7 @@
 package io.guavashore.edge.batches
 
 import io.guavashore.api.VmId
+import io.guavashore.edge.declared.SoftwareVersion
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -14,7 +15,7 @@
     private fun generate(
         run: String,
         ids: IntRange,
-    ) = ids.forEach { item.progress.add(TextEvent(it.toLong(), "$run-$it", version = 1)) }
+    ) = ids.forEach { item.progress.add(TextEvent(it.toLong(), "$run-$it", version = 1, SoftwareVersion("v1"))) }
 
     private fun replicate() = replicator.partsFor(standby, listOf(item)).forEach(texts::add)
 
