--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -32,6 +32,8 @@
 import io.guavashore.edge.limits.RequestLimits
 import io.guavashore.edge.peers.PeerCall
 import io.guavashore.edge.peers.PeerReply
+import io.guavashore.edge.streams.StreamOrigin
+import io.guavashore.edge.streams.StreamRecordCleaner
 import io.guavashore.edge.targets.EngineControl
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
@@ -112,6 +114,7 @@
         scope.launchWithRestart("weights") { updater.run() }
         scope.launchWithRestart("usage") { usageReporter().run() }
         scope.launchWithRestart("scaling") { engineScaler(batches, updater).run() }
+        scope.launchWithRestart("stream records") { streamRecordCleaner().run() }
         scope.launchWithRestart("text replication") { replicateTextsPeriodically(batches) }
     }
 
@@ -245,6 +248,18 @@
         return (dueMs.minOrNull() ?: DEFAULT_DUE_MS) / 2
     }
 
+    private fun streamRecordCleaner() =
+        StreamRecordCleaner(
+            call = dependencies.call,
+            listed = {
+                dependencies.targets.directory
+                    .all()
+                    .mapTo(HashSet()) { StreamOrigin.of(it) }
+            },
+            clock = clock,
+            wallClock = medianTimeMs,
+        )
+
     private fun engineScaler(
         batches: BatchRunner,
         updater: WeightUpdater,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/streams/AdmittedVersions.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/streams/AdmittedVersions.kt
@@ -129,7 +129,7 @@
 }
 
 /** Versions in a stored record. One that can't be decoded, written by another writer, names none and is replaced. */
-private fun versionsIn(entry: StoredEntry?): Set<SoftwareVersion> {
+internal fun versionsIn(entry: StoredEntry?): Set<SoftwareVersion> {
     if (entry == null) return emptySet()
     return try {
         Json.decodeFromString<VersionRecord>(entry.content).versions
