--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
@@ -195,12 +195,19 @@
     demands
         .filter { demand ->
             val next = demand.item.memoryEstimate(config)
-            val (same, others) = engines.filter { it.service == demand.service }.partition { it.fitsTextOf(demand.item) }
+            val (same, others) =
+                engines.filter { it.service == demand.service }.partition {
+                    it.fitsTextOf(
+                        demand.item,
+                    )
+                }
             val isOverdue = nowMs - demand.item.waitingSinceMs >= config.maxWaitMs
             when {
                 others.isEmpty() -> false
                 same.isEmpty() -> true
-                else -> isOverdue && same.none { it.canTake(demand, next, config) } && others.any { it.canTake(demand, next, config) }
+                else ->
+                    isOverdue && same.none { it.canTake(demand, next, config) } &&
+                        others.any { it.canTake(demand, next, config) }
             }
         }.map { it.item }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/streams/StreamOriginLookup.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/streams/StreamOriginLookup.kt
@@ -24,10 +24,11 @@
         services: List<ServiceId>,
     ): StreamOrigin? {
         stream?.let { origins[it] }?.let { return it }
-        val possible = services.flatMap { service ->
-            val recorded = versions.read(service) ?: return null
-            recorded.map { StreamOrigin(service, it) }
-        }
+        val possible =
+            services.flatMap { service ->
+                val recorded = versions.read(service) ?: return null
+                recorded.map { StreamOrigin(service, it) }
+            }
         val found = possible.singleOrNull() ?: stream?.let { archived(it) }
         log.info { "stream origin looked up: stream=$stream possible=$possible found=$found" }
         return found
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/streams/StreamOriginSchedulesTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/streams/StreamOriginSchedulesTest.kt
@@ -81,7 +81,11 @@
                     delay(random.nextLong(200))
                     when (random.nextInt(8)) {
                         0 -> listed = setOf(versions.random(random), versions.random(random))
-                        1 -> vms.indices.random(random).let { vms.set(it, Vm(this, started++, store) { listed }).job.cancel() }
+                        1 ->
+                            vms.indices
+                                .random(
+                                    random,
+                                ).let { vms.set(it, Vm(this, started++, store) { listed }).job.cancel() }
                         2, 3 -> {
                             val stream = truth.keys.randomOrNull(random) ?: return@repeat
                             val found = vms.random(random).lookup.find(stream, listOf(service)) ?: return@repeat
