Requests at a VM that reaches no target are served through another VM

Cause: a VM had one way to a target, its own links. The store was reached through peers when it failed for one VM, targets were not. Ruled out: reporting not ready. The load balancer uses all VMs of a zone when fewer than half are ready, and open connections stay. Change: after a target can't be reached or does not respond, a VM opens connections to three targets in different zones (150 ms). If none opens, it is cut off, says so in its heartbeats and forwards requests to a peer that is not, until a probe succeeds. The peer handles them like requests of its own callers and does not pass them on. A refusal of the peer promises that the request has not run; after its failure no further attempt is made.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -7,6 +7,7 @@
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.OrganisationId
 import io.guavashore.api.TargetId
+import io.guavashore.api.VmId
 import io.guavashore.edge.declared.Route
 import io.guavashore.edge.declared.RouteKind
 import io.guavashore.edge.declared.TargetEntry
@@ -16,6 +17,7 @@
 import io.guavashore.edge.streams.StreamId
 import io.guavashore.edge.streams.StreamOrigin
 import io.guavashore.edge.targets.ForwardingContext
+import io.guavashore.edge.targets.Resumption
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
 import io.guavashore.edge.targets.TargetProtocol
@@ -35,6 +37,8 @@
     val route: Route,
     val organisation: OrganisationId?,
     val deadlineMs: Long,
+    /** True if another VM relayed the request to this one, which must not relay it again. */
+    val isRelayed: Boolean = false,
 ) {
     var attempts = Attempts()
     var usageRecorded = false
@@ -45,6 +49,9 @@
     /** True if a target's response was received completely. */
     var responseCompleted = false
     val tried = HashSet<TargetId>()
+
+    /** Peers to which the request was relayed. */
+    val triedPeers = HashSet<VmId>()
     val stream = StreamProgress()
 
     /** True if the caller resumes a stream that an earlier request began. */
@@ -54,6 +61,12 @@
     /** Id of the stream that the response belongs to; null if the caller named none. */
     val streamId: StreamId? get() = (if (resumesStream) metadata.resumes else metadata.requestId)?.let(::StreamId)
 
+    /** Where a request that is sent on resumes the stream; null if it does not resume one. */
+    fun resumption(): Resumption? {
+        val after = stream.lastEventId ?: metadata.lastEventId ?: return null
+        return streamId?.let { Resumption(it, after) }
+    }
+
     /** True if the response has begun and can't be resumed on another target. */
     val mustAbortOnFailure: Boolean get() = exchange.hasBegun && !route.isResumable
 }
@@ -77,6 +90,7 @@
 /** Forwards the requests that callers send to one VM. Not thread-safe. */
 class Forwarder(
     private val chooser: TargetChooser,
+    private val relay: RelayWhileCutOff,
     private val directory: TargetDirectory,
     private val connections: TargetConnectionPool,
     private val loads: TargetLoads,
@@ -95,6 +109,7 @@
             return errorResponder.refuse(call, UNAVAILABLE, "this request has crashed several targets", null)
         }
         while (true) {
+            if (relay.isNeeded(call)) return forwardThroughPeers(call)
             val choice = chooser.choose(call)
             if (choice !is TargetChoice.Chosen) return respondUnplaced(call, choice)
             val target = choice.target
@@ -107,21 +122,38 @@
             if (call.connectionFailed) poison.onConnectionFailed(fingerprint, target.id)
             if (call.responseCompleted) poison.onCompleted(fingerprint)
             if (outcome == null) return
-            call.attempts = call.attempts.after(outcome)
-            val leftMs = call.deadlineMs - clock()
-            val next = afterAttempt(call.route, call.attempts, outcome, leftMs)
-            log.info {
-                "attempt failed: request=${call.metadata.requestId} target=${target.id} end=$outcome next=$next " +
-                    "left_ms=$leftMs"
-            }
-            when (next) {
-                NextStep.TRY_ANOTHER -> Unit
-                NextStep.REFUSE ->
-                    return errorResponder.refuse(call, UNAVAILABLE, "all targets are full", FULL_RETRY_AFTER_MS)
-                NextStep.FAIL ->
-                    return errorResponder.fail(call, leftMs)
-            }
+            if (!proceed(call, outcome, "target=${target.id}")) return
+        }
+    }
+
+    /** Relays [call] to peers until one of them has responded or no further attempt is allowed. */
+    private suspend fun forwardThroughPeers(call: ForwardedCall) {
+        while (true) {
+            val result = relay.attempt(call) ?: return respondUnplaced(call, TargetChoice.NoTarget)
+            val outcome = result.outcome ?: return errorResponder.count(call, "relayed")
+            if (result.isFinal) return errorResponder.fail(call, call.deadlineMs - clock())
+            if (!proceed(call, outcome, "peers=${call.triedPeers}")) return
+        }
+    }
+
+    /** Records a failed attempt; returns true if another one may follow, false once the caller has got an error. */
+    private fun proceed(
+        call: ForwardedCall,
+        outcome: AttemptOutcome,
+        attempted: String,
+    ): Boolean {
+        call.attempts = call.attempts.after(outcome)
+        val leftMs = call.deadlineMs - clock()
+        val next = afterAttempt(call.route, call.attempts, outcome, leftMs)
+        log.info {
+            "attempt failed: request=${call.metadata.requestId} $attempted end=$outcome next=$next left_ms=$leftMs"
+        }
+        when (next) {
+            NextStep.TRY_ANOTHER -> return true
+            NextStep.REFUSE -> errorResponder.refuse(call, UNAVAILABLE, "all targets are full", FULL_RETRY_AFTER_MS)
+            NextStep.FAIL -> errorResponder.fail(call, leftMs)
         }
+        return false
     }
 
     /** Returns null once the response to the caller has ended, else the outcome of the failed attempt. */
@@ -140,6 +172,7 @@
                     "target not reached: request=${call.metadata.requestId} target=${target.id} cause=${e.message}"
                 }
                 directory.recordFailure(target.id)
+                relay.onTargetUnreachable()
                 return AttemptOutcome.NOT_SENT
             }
         val leftMs = call.deadlineMs - clock()
@@ -162,6 +195,7 @@
                 .let { if (it == null) timedOut(call, target) else it.outcome }
         } catch (e: ExchangeFailure) {
             directory.recordFailure(target.id)
+            relay.onTargetUnreachable()
             call.connectionFailed = true
             log.info {
                 "response interrupted: request=${call.metadata.requestId} target=${target.id} cause=${e.message}"
@@ -173,11 +207,12 @@
         }
     }
 
-    private fun timedOut(
+    private suspend fun timedOut(
         call: ForwardedCall,
         target: TargetEntry,
     ): AttemptOutcome? {
         directory.recordFailure(target.id)
+        relay.onTargetUnreachable()
         return if (call.mustAbortOnFailure) abort(call) else AttemptOutcome.UNCERTAIN
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
@@ -42,16 +42,18 @@
 ) {
     /**
      * Forwards complete events only. Returns null once the complete stream has been sent. An interrupted stream is
-     * resumed by the next attempt or aborted, so that the caller can't take it for complete.
+     * resumed by the next attempt or aborted, so that the caller can't take it for complete. [target] is null for a
+     * stream that a peer relays; the peer records its origin.
      */
     suspend fun forward(
         call: ForwardedCall,
-        target: TargetEntry,
+        target: TargetEntry?,
         head: ResponseHead,
         connection: HttpConnection,
     ): AttemptOutcome? {
         log.info {
-            "stream from target: request=${call.metadata.requestId} target=${target.id} software=${target.software} " +
+            "stream from target: request=${call.metadata.requestId} target=${target?.id} " +
+                "software=${target?.software} " +
                 "resumes=${call.metadata.resumes} " +
                 "after_event=${call.stream.lastEventId ?: call.metadata.lastEventId}"
         }
@@ -67,7 +69,7 @@
 
     private suspend fun forwardEvents(
         call: ForwardedCall,
-        target: TargetEntry,
+        target: TargetEntry?,
         connection: HttpConnection,
     ): AttemptOutcome? {
         val reader = EventReader()
@@ -99,7 +101,7 @@
     /** Forwards [event]; returns false if its id does not follow the last one. */
     private suspend fun forward(
         call: ForwardedCall,
-        target: TargetEntry,
+        target: TargetEntry?,
         event: StreamEvent,
     ): Boolean {
         val last = call.stream.lastEventId
@@ -108,7 +110,7 @@
         call.stream.weightVersion =
             event.lines.firstNotNullOfOrNull(targets.eventVersion) ?: call.stream.weightVersion
         call.stream.lastEventId = id ?: last
-        if (!event.isComment) recordOriginOnce(call, target)
+        if (!event.isComment && target != null) recordOriginOnce(call, target)
         call.exchange.write(event.raw)
         return true
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/Frontend.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/Frontend.kt
@@ -34,7 +34,11 @@
     private val clock: MonotonicClock,
     private val wallClock: WallClock,
 ) {
-    suspend fun handle(exchange: HttpExchange) {
+    /** Handles a request; [isRelayed] is true if another VM received it from the caller and relayed it here. */
+    suspend fun handle(
+        exchange: HttpExchange,
+        isRelayed: Boolean = false,
+    ) {
         val metadata = protocol.metadata(exchange.request)
         val declaration = declared()
         if (declaration == null) {
@@ -57,7 +61,9 @@
             )
         }
         if (route.kind == RouteKind.BATCH) return submit(exchange, metadata, declaration, route, organisation)
-        forwarder.forward(ForwardedCall(exchange, metadata, route, organisation, deadlineMs(metadata, route)))
+        forwarder.forward(
+            ForwardedCall(exchange, metadata, route, organisation, deadlineMs(metadata, route), isRelayed),
+        )
     }
 
     private suspend fun handleBatchCall(
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
@@ -30,6 +30,7 @@
  * @property incarnation number of the process start; a restarted process has a higher one
  * @property address address at which peers reach the VM, as IP:PORT
  * @property capacity CPU share; VMs with a larger one are preferred as coordinator
+ * @property relay address at which the VM accepts requests that peers relay, as IP:PORT; null if it accepts none
  */
 @Serializable
 data class VmRecord(
@@ -38,6 +39,7 @@
     val address: String,
     val zone: ZoneId,
     val capacity: Double,
+    val relay: String? = null,
 )
 
 /** Coordinator's lease as its holder last wrote it, with the store's revision of that write. */
@@ -63,6 +65,7 @@
  * @property leaseState state of the coordinator's lease; null unless the sender holds or has released the lease
  * @property usage sender's counts; empty unless the receiver reports usage or may do so soon
  * @property storeReachable false while the sender's direct store calls fail
+ * @property reachesTargets false while the sender can't reach any target
  * @property stopping true once the sender has been asked to stop
  * @property rateLimits limits of targets in force; empty unless the receiver has just started
  */
@@ -76,6 +79,7 @@
     val leaseState: CoordinatorLeaseState? = null,
     val usage: List<UsageCount> = emptyList(),
     val storeReachable: Boolean = true,
+    val reachesTargets: Boolean = true,
     val stopping: Boolean = false,
     val rateLimits: List<TargetRateLimit> = emptyList(),
 )
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -4,6 +4,7 @@
 package io.guavashore.edge.process
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.Endpoint
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.ServiceId
 import io.guavashore.api.TargetId
@@ -23,11 +24,15 @@
 import io.guavashore.edge.coordinator.Coordinator
 import io.guavashore.edge.coordinator.SuspensionDetector
 import io.guavashore.edge.coordinator.leaseStore
+import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.duties.MedianClock
 import io.guavashore.edge.duties.UsageCounters
 import io.guavashore.edge.forward.ErrorResponder
 import io.guavashore.edge.forward.Forwarder
+import io.guavashore.edge.forward.PeerRelay
 import io.guavashore.edge.forward.PoisonList
+import io.guavashore.edge.forward.RelayPeer
+import io.guavashore.edge.forward.RelayWhileCutOff
 import io.guavashore.edge.forward.ResponseObserver
 import io.guavashore.edge.forward.TargetChooser
 import io.guavashore.edge.forward.TargetLoads
@@ -53,10 +58,14 @@
 import io.guavashore.edge.streams.StreamOriginArchive
 import io.guavashore.edge.streams.StreamOriginLookup
 import io.guavashore.edge.streams.StreamOrigins
+import io.guavashore.edge.targets.ConnectionPool
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
+import io.guavashore.edge.targets.TargetReachability
 import io.guavashore.metrics.Metrics
 import io.guavashore.net.CallerLimits
+import io.guavashore.net.Dial
+import io.guavashore.net.ExchangeFailure
 import io.guavashore.net.HttpDialer
 import io.guavashore.net.HttpResponseMessage
 import io.guavashore.net.HttpServer
@@ -73,11 +82,19 @@
     private val settings: EdgeSettings,
     private val ports: PlatformPorts,
     private val loop: ProcessLoop,
+    dial: Dial = HttpDialer(loop)::connect,
     private val clock: MonotonicClock = systemMonotonicClock,
     private val wallClock: WallClock = systemWallClock,
 ) : PeerEvents {
     private val vmRecord =
-        VmRecord(settings.vm, settings.incarnation, settings.peers.toString(), settings.zone, settings.capacity)
+        VmRecord(
+            vm = settings.vm,
+            incarnation = settings.incarnation,
+            address = settings.peers.toString(),
+            zone = settings.zone,
+            capacity = settings.capacity,
+            relay = settings.relay?.toString(),
+        )
     private val metrics = Metrics()
     private val medianClock = MedianClock(wallClock, clock)
     private val usage = UsageCounters(settings.vm, settings.incarnation, settings.usageWindowMs, medianClock::nowMs)
@@ -106,7 +123,7 @@
             clock,
             store::endWatches,
         )
-    private val connections = TargetConnectionPool(HttpDialer(loop), onResponseHead = ::onResponseHead)
+    private val connections = TargetConnectionPool(dial, onResponseHead = ::onResponseHead)
     private val loads = TargetLoads()
     private val rateLimits = TargetRateLimits(clock, directory::bornAtMs)
     private val permits =
@@ -173,9 +190,22 @@
             wallClock = medianClock::nowMs,
         )
     private val streamLookup = StreamOriginLookup(streamOrigins, admittedVersions, streamArchive)
+    private val reachability =
+        TargetReachability(
+            scope = loop.scope,
+            usable = directory::usable,
+            probe = { canConnect(dial, it) },
+            clock = clock,
+        )
+    private val relay =
+        RelayWhileCutOff(
+            reachability,
+            PeerRelay(::relayPeers, ConnectionPool(HttpDialer(loop)::connect), ports.targets, clock),
+        )
     private val forwarder =
         Forwarder(
             chooser = TargetChooser(settings.zone, directory, loads, permits, streamLookup, admittedVersions, clock),
+            relay = relay,
             directory = directory,
             connections = connections,
             loads = loads,
@@ -195,7 +225,8 @@
             clock,
             medianClock::nowMs,
         )
-    private val server = HttpServer(loop, { sharedState.declaration?.limits ?: CallerLimits() }, frontend::handle)
+    private val server = HttpServer(loop, ::callerLimits) { frontend.handle(it) }
+    private val relayServer = HttpServer(loop, ::callerLimits) { frontend.handle(it, isRelayed = true) }
     private var stopping = false
 
     /** Opens all sockets and starts all tasks. */
@@ -206,6 +237,7 @@
         }
         mesh.listen(settings.peers)
         settings.knownPeers.forEach { mesh.addPeer(it.toString()) }
+        settings.relay?.let { relayServer.listen(it) }
         server.listen(settings.callers)
         listenForOperators()
         catalog.collections.forEach { collection ->
@@ -221,22 +253,28 @@
 
     /** Hands over the coordinator's tasks, stops accepting callers and waits for active requests; returns when done. */
     suspend fun stop() {
-        log.info { "edge stopping: active_requests=${server.activeRequests} coordinator=${coordinator.isActive}" }
+        log.info { "edge stopping: active_requests=${activeRequests()} coordinator=${coordinator.isActive}" }
         stopping = true
         val deadlineMs = clock() + settings.stopGraceMs - STOP_MARGIN_MS
         coordinatorTasks.handOver()
         coordinator.release()
         server.beginStop()
+        relayServer.beginStop()
         mesh.pingAll()
         val removedAtMs = clock() + LOAD_BALANCER_DELAY_MS
-        while (clock() < deadlineMs && (clock() < removedAtMs || server.activeRequests > 0)) {
+        while (clock() < deadlineMs && (clock() < removedAtMs || activeRequests() > 0)) {
             delay(STOP_POLL_INTERVAL_MS)
         }
         coordinator.stop()
         server.closeIdle()
-        log.info { "edge stopped: active_requests=${server.activeRequests}" }
+        relayServer.closeIdle()
+        log.info { "edge stopped: active_requests=${activeRequests()}" }
     }
 
+    private fun activeRequests() = server.activeRequests + relayServer.activeRequests
+
+    private fun callerLimits() = sharedState.declaration?.limits ?: CallerLimits()
+
     override fun heartbeat(receiver: VmId?) =
         Heartbeat(
             vmRecord = vmRecord,
@@ -246,6 +284,7 @@
             usage =
                 if (receiver == null || receiver in coordinator.usageReporters()) usage.ownCounts() else emptyList(),
             storeReachable = store.isReachable,
+            reachesTargets = !reachability.isCutOff,
             stopping = stopping,
             rateLimits = limits.forHeartbeat(receiver),
         )
@@ -336,6 +375,25 @@
         return if (holder == vmRecord.vm) coordinatorTasks.handleCall(call) else mesh.call(holder, call, timeoutMs)
     }
 
+    private suspend fun canConnect(
+        dial: Dial,
+        target: TargetEntry,
+    ): Boolean =
+        try {
+            dial(target.endpoint, PROBE_TIMEOUT_MS).close()
+            true
+        } catch (e: ExchangeFailure.NotConnected) {
+            log.info { "target not reached by probe: target=${target.id} cause=${e.message}" }
+            false
+        }
+
+    /** Peers that can reach targets for this VM. */
+    private fun relayPeers(): List<RelayPeer> =
+        mesh.alive().filter { it.reachesTargets && !it.stopping }.mapNotNull { peer ->
+            val endpoint = peer.vmRecord.relay?.let(Endpoint::parseOrNull) ?: return@mapNotNull null
+            RelayPeer(peer.vmRecord.vm, endpoint, isInOwnZone = peer.vmRecord.zone == vmRecord.zone)
+        }
+
     /** Peers that can execute store calls for this VM. */
     private fun storeRelays() =
         mesh
@@ -379,6 +437,9 @@
         const val OK = 200
         const val UNAVAILABLE = 503
 
+        /** A connection between availability zones opens within a few milliseconds. */
+        const val PROBE_TIMEOUT_MS = 150L
+
         /** Well below a third of the lease's duration, so that a timed-out renewal is repeated before expiry. */
         const val LEASE_TIMEOUT_MS = 500L
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeSettings.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeSettings.kt
@@ -14,6 +14,7 @@
  * @property callers address that accepts callers' requests
  * @property readiness address of the health check with which the load balancer decides whether to send callers here
  * @property peers address that accepts connections from other VMs
+ * @property relay address that accepts requests that other VMs relay; null if there is none
  * @property metrics address that serves the metrics, or null if they are not served
  * @property knownPeers addresses of some other VMs, to which this VM connects first; may be outdated
  * @property capacity CPU share of this VM; the coordinator is preferably a VM with a large one
@@ -27,6 +28,7 @@
     val callers: Endpoint,
     val readiness: Endpoint,
     val peers: Endpoint,
+    val relay: Endpoint? = null,
     val metrics: Endpoint? = null,
     val knownPeers: List<Endpoint> = emptyList(),
     val capacity: Double = 1.0,
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
@@ -0,0 +1,65 @@
+/*
+ * Pool of HTTP connections. Connections are reused because opening one is costly.
+ */
+package io.guavashore.edge.targets
+
+import io.guavashore.api.Endpoint
+import io.guavashore.net.Dial
+import io.guavashore.net.HttpConnection
+import io.guavashore.net.ResponseHead
+
+/** Pool of idle connections by the server's key. Not thread-safe. */
+open class ConnectionPool<K>(
+    private val dial: Dial,
+    /** Connecting between zones takes a few milliseconds; a lost SYN packet is sent again only after 1 s. */
+    private val connectTimeoutMs: Long = 400,
+    /** Called with the head of every response before the response is processed. */
+    private val onResponseHead: (K, ResponseHead) -> Unit = { _, _ -> },
+) {
+    private val idle = HashMap<K, ArrayDeque<HttpConnection>>()
+
+    /**
+     * Returns a connection to the server [key] at [endpoint] that is ready for a request, preferring the one used last.
+     *
+     * @param forceNew true to open a new connection: the server may close a pooled one just as a request arrives, and
+     * it is then unknown whether that request ran
+     */
+    suspend fun take(
+        key: K,
+        endpoint: Endpoint,
+        forceNew: Boolean = false,
+    ): HttpConnection {
+        val now = System.nanoTime()
+        val pooled = idle[key]
+        while (!forceNew && !pooled.isNullOrEmpty()) {
+            val connection = pooled.removeLast()
+            if (connection.isReusable(now)) return connection
+            connection.close()
+        }
+        val connection = dial(endpoint, connectTimeoutMs)
+        connection.onHead = { onResponseHead(key, it) }
+        return connection
+    }
+
+    /** Returns [connection] to the pool if it can be reused, else closes it. */
+    fun release(
+        key: K,
+        connection: HttpConnection,
+    ) {
+        if (!connection.isReusable(System.nanoTime())) return connection.close()
+        val pooled = idle.getOrPut(key) { ArrayDeque() }
+        pooled.addLast(connection)
+        if (pooled.size > MAX_IDLE_PER_SERVER) pooled.removeFirst().close()
+    }
+
+    /** Closes the connections to all servers that are not in [keys]. */
+    fun retain(keys: Set<K>) {
+        val removed = idle.keys - keys
+        removed.forEach { key -> idle.remove(key)?.forEach { it.close() } }
+    }
+
+    private companion object {
+        /** Somewhat more than the slots of the largest engine. */
+        const val MAX_IDLE_PER_SERVER = 16
+    }
+}
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetReachability.kt
@@ -0,0 +1,101 @@
+/*
+ * Detects that this VM has lost its links to all targets, while callers, the store and other VMs still reach it.
+ *
+ * A failed connection alone says little, since targets crash. After one, the VM opens connections to a few other
+ * targets in different availability zones; if none opens, it is cut off. It then repeats the probe until one opens.
+ */
+package io.guavashore.edge.targets
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.MonotonicClock
+import io.guavashore.edge.declared.TargetEntry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+private val log = KotlinLogging.logger {}
+
+/** Returns true if a connection to the target opens. */
+typealias ProbeTarget = suspend (TargetEntry) -> Boolean
+
+/** Reachability of all targets together from one VM. Not thread-safe. */
+class TargetReachability(
+    private val scope: CoroutineScope,
+    private val usable: () -> List<TargetEntry>,
+    private val probe: ProbeTarget,
+    private val clock: MonotonicClock,
+) {
+    private var verification: Deferred<Unit>? = null
+    private var verifiedAtMs: Long? = null
+    private var cutOffSinceMs: Long? = null
+
+    /** True while no target can be reached. */
+    val isCutOff: Boolean get() = cutOffSinceMs != null
+
+    /** Time since which no target could be reached; 0 if targets are reachable. */
+    fun cutOffForMs(): Long = cutOffSinceMs?.let { clock() - it } ?: 0
+
+    /** Called after a target could not be reached or did not respond. Returns once [isCutOff] is up to date. */
+    suspend fun verify() {
+        val verifiedMs = verifiedAtMs
+        if (isCutOff || (verifiedMs != null && clock() - verifiedMs < MIN_INTERVAL_MS)) return
+        val current = verification ?: scope.async { verifyNow() }.also { verification = it }
+        current.await()
+    }
+
+    private suspend fun verifyNow() {
+        try {
+            val targets = sample()
+            if (targets.size < MIN_TARGETS || reachesAny(targets)) return
+            cutOffSinceMs = clock()
+            log.warn { "cut off from all targets: probed=${targets.map { it.id }}" }
+            scope.launch { awaitReturn() }
+        } finally {
+            verifiedAtMs = clock()
+            verification = null
+        }
+    }
+
+    private suspend fun awaitReturn() {
+        do {
+            delay(RETRY_INTERVAL_MS)
+        } while (!reachesAny(sample()))
+        log.info { "targets reachable again: after_ms=${cutOffForMs()}" }
+        cutOffSinceMs = null
+    }
+
+    private suspend fun reachesAny(targets: List<TargetEntry>): Boolean =
+        coroutineScope { targets.map { async { probe(it) } }.awaitAll().any { it } }
+
+    /** A few targets, in as many availability zones as possible. */
+    private fun sample(): List<TargetEntry> {
+        val byZone =
+            usable()
+                .shuffled()
+                .groupBy { it.zone }
+                .values
+                .shuffled()
+        val rounds = byZone.maxOfOrNull { it.size } ?: 0
+        return (0 until rounds)
+            .asSequence()
+            .flatMap { round ->
+                byZone.mapNotNull { it.getOrNull(round) }
+            }.take(SAMPLE_SIZE)
+            .toList()
+    }
+
+    private companion object {
+        const val SAMPLE_SIZE = 3
+
+        /** With fewer targets, a crash can't be told from a cut. */
+        const val MIN_TARGETS = 2
+
+        /** Limits the probes while single targets fail. */
+        const val MIN_INTERVAL_MS = 250L
+        const val RETRY_INTERVAL_MS = 400L
+    }
+}
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpDialer.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpDialer.kt
@@ -6,6 +6,9 @@
 import io.guavashore.api.Endpoint
 import io.netty.handler.codec.http.HttpClientCodec
 
+/** Connects to a server within `timeoutMs`; throws [ExchangeFailure.NotConnected] on failure. */
+typealias Dial = suspend (endpoint: Endpoint, timeoutMs: Long) -> HttpConnection
+
 /** Opens connections to servers on [loop]; responses that are read completely share [responseBudget]. */
 class HttpDialer(
     private val loop: ProcessLoop,
