A coordinator that reaches no target leaves its tasks to a VM that does

Cause: the lease depends on the store only, which such a VM reaches. Ruled out: relaying items through a peer, as it doubles the bytes of all texts and weight orders must come from the lease holder. Change: a VM verifies its reachability after each failure of a target, also of items and orders. A coordinator that has been cut off for 700 ms, a second round of probes included, replicates its texts and releases the lease if a peer reaches targets. Cut-off VMs do not contend while another VM can, and are standbys only if there is no other.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
@@ -4,6 +4,9 @@
  * Batch processing continues if the lease expires because the store is unavailable: the store decides which results
  * are listed, so two concurrent coordinators only duplicate work. Engine orders and platform calls require a valid
  * lease at the moment they are sent.
+ *
+ * A coordinator that reaches no target can't run any item, so it releases the lease if another VM reaches targets, and
+ * contends again only when it does so itself.
  */
 package io.guavashore.edge.coordinator
 
@@ -44,6 +47,8 @@
     private val isStopping: () -> Boolean,
     private val startTerm: StartTerm,
     private val sendHeartbeats: () -> Unit,
+    private val cutOffForMs: () -> Long = { 0 },
+    private val handOver: () -> Unit = {},
 ) {
     private val machine = LeaseStateMachine(LeaseHolder(vmRecord.vm, vmRecord.incarnation), LEASE_TIMING, ::hasEnded)
     private val leaseManager = LeaseManager(COORDINATOR_LEASE, machine, store, clock)
@@ -117,7 +122,9 @@
     suspend fun run() {
         while (true) {
             if (suspensionDetector.hasClockJumped()) machine.invalidate()
-            if (released == null && (isActive || mayContend())) step()
+            if (isActive && mustStepDown()) stepDown()
+            val hasLeft = released != null && isStopping()
+            if (!hasLeft && (isActive || mayContend())) step()
             delay(STEP_INTERVAL_MS)
         }
     }
@@ -134,6 +141,17 @@
         }
     }
 
+    private fun mustStepDown() = cutOffForMs() >= STEP_DOWN_AFTER_MS && peersWithTargets().isNotEmpty()
+
+    private suspend fun stepDown() {
+        log.warn { "coordinator reaches no target, leaving its tasks to another VM: cut_off_ms=${cutOffForMs()}" }
+        handOver()
+        release()
+        endTerm("no target can be reached")
+    }
+
+    private fun peersWithTargets() = alivePeers().filter { it.reachesTargets && !it.stopping }
+
     /** Cancels the coordinator's tasks when the process stops. */
     fun stop() = endTerm("stopping")
 
@@ -170,7 +188,8 @@
     fun usageReporters(): Set<VmId> =
         (succession.potentialCoordinators(candidates() + vmRecord) + listOfNotNull(current())).toSet()
 
-    private fun candidates() = alivePeers().filterNot { it.stopping }.map { it.vmRecord }
+    /** Peers that could take over; those that reach no target only if none does. */
+    private fun candidates() = peersWithTargets().ifEmpty { alivePeers().filterNot { it.stopping } }.map { it.vmRecord }
 
     /** A VM runs one process at a time, so a newer incarnation there means that the holder's process has ended. */
     private fun hasEnded(holder: LeaseHolder): Boolean {
@@ -188,7 +207,7 @@
      * joins after each [CONTENDER_DELAY_MS].
      */
     private fun mayContend(): Boolean {
-        if (isStopping()) return false
+        if (isStopping() || (cutOffForMs() > 0 && peersWithTargets().isNotEmpty())) return false
         if (current() != null && clock() - lastReceivedAtMs < RENEWAL_TIMEOUT_MS) {
             vacantSinceMs = clock()
             return false
@@ -209,6 +228,9 @@
         /** A live holder that has not renewed for this long can't reach the store, so other VMs may contend. */
         const val RENEWAL_TIMEOUT_MS = 2_300L
 
+        /** Covers a second round of probes, so that a short pause of this VM is not taken for a cut. */
+        const val STEP_DOWN_AFTER_MS = 700L
+
         /** Time after which the next VM in the succession order contends as well. */
         const val CONTENDER_DELAY_MS = 3_500L
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -74,6 +74,7 @@
 import io.guavashore.platform.CollectionName
 import io.guavashore.platform.EntryChange
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 
 private val log = KotlinLogging.logger {}
 
@@ -110,7 +111,12 @@
             ),
         )
     private val directory: TargetDirectory =
-        TargetDirectory(ports.decodeTarget, clock) { sync.storeRecentlyUnavailable() }
+        TargetDirectory(
+            decode = ports.decodeTarget,
+            clock = clock,
+            storeRecentlyUnavailable = { sync.storeRecentlyUnavailable() },
+            onFailure = { loop.scope.launch { reachability.verify() } },
+        )
     private val sharedState = SharedState(ports, directory)
     private val sync: CatalogSync =
         CatalogSync(
@@ -175,6 +181,8 @@
             isStopping = { stopping },
             startTerm = coordinatorTasks::start,
             sendHeartbeats = mesh::pingAll,
+            cutOffForMs = { reachability.cutOffForMs() },
+            handOver = { coordinatorTasks.handOver() },
         )
     private val batchGateway = BatchGateway(batchStore, ::callCoordinator, clock)
     private val streamOrigins = StreamOrigins(clock)
@@ -190,7 +198,7 @@
             wallClock = medianClock::nowMs,
         )
     private val streamLookup = StreamOriginLookup(streamOrigins, admittedVersions, streamArchive)
-    private val reachability =
+    private val reachability: TargetReachability =
         TargetReachability(
             scope = loop.scope,
             usable = directory::usable,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
@@ -26,6 +26,8 @@
     private val decode: DecodeTarget,
     private val clock: MonotonicClock,
     private val storeRecentlyUnavailable: () -> Boolean,
+    /** Called after each failure of a target to accept a connection or to respond. */
+    private val onFailure: () -> Unit = {},
 ) {
     private val entries = HashMap<TargetId, TargetEntry>()
     private val graceUntilMs = HashMap<TargetId, Long>()
@@ -100,6 +102,7 @@
         val forMs = minOf(MAX_SUSPICION_MS, MIN_SUSPICION_MS shl minOf(count - 1, MAX_DOUBLINGS))
         suspectUntilMs[id] = clock() + forMs
         log.info { "target suspected: target=$id failures=$count for_ms=$forMs" }
+        onFailure()
     }
 
     fun recordSuccess(id: TargetId) {
