--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -12,12 +12,12 @@
 import io.guavashore.edge.declared.RouteKind
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.front.RequestMetadata
+import io.guavashore.edge.front.Resumption
 import io.guavashore.edge.limits.OnNoLimitNamed
 import io.guavashore.edge.limits.RateStatement
 import io.guavashore.edge.streams.StreamId
 import io.guavashore.edge.streams.StreamOrigin
 import io.guavashore.edge.targets.ForwardingContext
-import io.guavashore.edge.targets.Resumption
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
 import io.guavashore.edge.targets.TargetProtocol
@@ -87,19 +87,27 @@
     val recordOrigin: RecordOrigin,
 )
 
+/** What a VM knows of targets and uses to reach them. */
+class TargetAccess(
+    val directory: TargetDirectory,
+    val connections: TargetConnectionPool,
+    val loads: TargetLoads,
+)
+
 /** Forwards the requests that callers send to one VM. Not thread-safe. */
 class Forwarder(
     private val chooser: TargetChooser,
     private val relay: RelayWhileCutOff,
-    private val directory: TargetDirectory,
-    private val connections: TargetConnectionPool,
-    private val loads: TargetLoads,
+    access: TargetAccess,
     private val targets: TargetProtocol,
     private val errorResponder: ErrorResponder,
     private val poison: PoisonList,
     private val observer: ResponseObserver,
     private val clock: MonotonicClock,
 ) {
+    private val directory = access.directory
+    private val connections = access.connections
+    private val loads = access.loads
     private val streams = StreamForwarder(targets, observer.recordOrigin, clock)
 
     /** Returns once the response to the caller has been sent or aborted. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
@@ -8,7 +8,10 @@
 import io.guavashore.api.Endpoint
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.VmId
+import io.guavashore.api.ZoneId
 import io.guavashore.edge.declared.RouteKind
+import io.guavashore.edge.front.CallerProtocol
+import io.guavashore.edge.peers.Heartbeat
 import io.guavashore.edge.targets.ConnectionPool
 import io.guavashore.edge.targets.TargetProtocol
 import io.guavashore.net.ExchangeFailure
@@ -30,6 +33,7 @@
 class PeerRelay(
     private val peers: () -> List<RelayPeer>,
     private val connections: ConnectionPool<VmId>,
+    private val callers: CallerProtocol,
     private val targets: TargetProtocol,
     private val clock: MonotonicClock,
 ) {
@@ -60,7 +64,7 @@
         log.info { "request relayed: request=${call.metadata.requestId} peer=${peer.vm} left_ms=$leftMs" }
         inFlight.merge(peer.vm, 1, Int::plus)
         try {
-            connection.send(targets.relayedRequest(call.exchange.request, leftMs, call.resumption()))
+            connection.send(callers.relayedRequest(call.exchange.request, leftMs, call.resumption()))
             return withTimeoutOrNull(leftMs.coerceAtLeast(1)) { handleResponse(call, connection) }
                 ?: Result(interrupted(call))
         } catch (e: ExchangeFailure) {
@@ -128,3 +132,13 @@
         const val MAX_ERROR_BYTES = 65_536
     }
 }
+
+/** The [alive] peers that reach targets and accept relayed requests, as seen from [ownZone]. */
+internal fun relayPeers(
+    alive: List<Heartbeat>,
+    ownZone: ZoneId,
+): List<RelayPeer> =
+    alive.filter { it.reachesTargets && !it.stopping }.mapNotNull { peer ->
+        val endpoint = peer.vmRecord.relay?.let(Endpoint::parseOrNull) ?: return@mapNotNull null
+        RelayPeer(peer.vmRecord.vm, endpoint, isInOwnZone = peer.vmRecord.zone == ownZone)
+    }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/RelayWhileCutOff.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/RelayWhileCutOff.kt
@@ -1,8 +1,8 @@
 /*
  * Decides when requests are relayed: while this VM can't reach any target.
  *
- * Load pattern: a VM, or most VMs of an availability zone, lose their links to all targets for seconds while callers keep
- * sending to them. Open connections hang, are reset, or go on while new ones are refused.
+ * Load pattern: a VM, or most VMs of an availability zone, lose their links to all targets for seconds while callers
+ * keep sending to them. Open connections hang, are reset, or go on while new ones are refused.
  */
 package io.guavashore.edge.forward
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
@@ -54,7 +54,7 @@
 ) {
     /** Chooses a target that [call] has not tried. Suspends until the permit for it may be used. */
     suspend fun choose(call: ForwardedCall): TargetChoice {
-        if (call.resumesStream && call.stream.origin == null) {
+        if (call.stream.origin == null && (call.resumesStream || call.resumption() != null)) {
             val services = call.route.backends.map { it.service }
             call.stream.origin = streamOrigins.find(call.streamId, services) ?: return TargetChoice.UnknownOrigin
         }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/CallerProtocol.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/CallerProtocol.kt
@@ -10,6 +10,7 @@
 import io.guavashore.edge.batches.ItemId
 import io.guavashore.edge.batches.ResultPage
 import io.guavashore.edge.declared.Route
+import io.guavashore.edge.streams.StreamId
 import io.guavashore.net.HttpRequestMessage
 import io.guavashore.net.HttpResponseMessage
 
@@ -28,6 +29,12 @@
     val resumes: String? = null,
 )
 
+/** Resumption of [stream] after event [lastEventId]. */
+data class Resumption(
+    val stream: StreamId,
+    val lastEventId: Long,
+)
+
 /** Call that refers to a batch submitted earlier. */
 sealed interface BatchCall {
     val batch: BatchId
@@ -57,6 +64,12 @@
 /** Decodes the requests of callers and encodes the responses to them. */
 class CallerProtocol(
     val metadata: (HttpRequestMessage) -> RequestMetadata,
+    /** Encodes a caller's request for another VM, which handles it like one of its own callers. */
+    val relayedRequest: (
+        request: HttpRequestMessage,
+        deadlineInMs: Long,
+        resumption: Resumption?,
+    ) -> HttpRequestMessage,
     /** Decodes a [BatchCall]; null if the request is not one. */
     val batchCall: (HttpRequestMessage) -> BatchCall?,
     /** Decodes a submission that arrived on a route; `wallMs` is the wall time of its arrival. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -4,9 +4,7 @@
 package io.guavashore.edge.process
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.guavashore.api.Endpoint
 import io.guavashore.api.MonotonicClock
-import io.guavashore.api.ServiceId
 import io.guavashore.api.TargetId
 import io.guavashore.api.VmId
 import io.guavashore.api.WallClock
@@ -24,18 +22,18 @@
 import io.guavashore.edge.coordinator.Coordinator
 import io.guavashore.edge.coordinator.SuspensionDetector
 import io.guavashore.edge.coordinator.leaseStore
-import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.duties.MedianClock
 import io.guavashore.edge.duties.UsageCounters
 import io.guavashore.edge.forward.ErrorResponder
 import io.guavashore.edge.forward.Forwarder
 import io.guavashore.edge.forward.PeerRelay
 import io.guavashore.edge.forward.PoisonList
-import io.guavashore.edge.forward.RelayPeer
 import io.guavashore.edge.forward.RelayWhileCutOff
 import io.guavashore.edge.forward.ResponseObserver
+import io.guavashore.edge.forward.TargetAccess
 import io.guavashore.edge.forward.TargetChooser
 import io.guavashore.edge.forward.TargetLoads
+import io.guavashore.edge.forward.relayPeers
 import io.guavashore.edge.front.Frontend
 import io.guavashore.edge.limits.Fleet
 import io.guavashore.edge.limits.LimitReceivers
@@ -53,19 +51,15 @@
 import io.guavashore.edge.peers.PeerReply
 import io.guavashore.edge.peers.RelayingStore
 import io.guavashore.edge.peers.VmRecord
-import io.guavashore.edge.streams.AdmittedVersions
-import io.guavashore.edge.streams.StreamOrigin
-import io.guavashore.edge.streams.StreamOriginArchive
-import io.guavashore.edge.streams.StreamOriginLookup
-import io.guavashore.edge.streams.StreamOrigins
+import io.guavashore.edge.streams.StreamTracking
 import io.guavashore.edge.targets.ConnectionPool
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
 import io.guavashore.edge.targets.TargetReachability
+import io.guavashore.edge.targets.probeBy
 import io.guavashore.metrics.Metrics
 import io.guavashore.net.CallerLimits
 import io.guavashore.net.Dial
-import io.guavashore.net.ExchangeFailure
 import io.guavashore.net.HttpDialer
 import io.guavashore.net.HttpResponseMessage
 import io.guavashore.net.HttpServer
@@ -185,42 +179,38 @@
             handOver = { coordinatorTasks.handOver() },
         )
     private val batchGateway = BatchGateway(batchStore, ::callCoordinator, clock)
-    private val streamOrigins = StreamOrigins(clock)
-    private val admittedVersions = AdmittedVersions(loop.scope, store::call)
-    private val streamArchive =
-        StreamOriginArchive(
+    private val streams =
+        StreamTracking(
             vmRecord = vmRecord,
             scope = loop.scope,
-            origins = streamOrigins,
-            servicesToCopy = ::servicesWithSeveralVersions,
+            directory = directory,
             vmCount = { mesh.alive().size + 1 },
             call = store::call,
+            clock = clock,
             wallClock = medianClock::nowMs,
         )
-    private val streamLookup = StreamOriginLookup(streamOrigins, admittedVersions, streamArchive)
     private val reachability: TargetReachability =
-        TargetReachability(
-            scope = loop.scope,
-            usable = directory::usable,
-            probe = { canConnect(dial, it) },
-            clock = clock,
-        )
+        TargetReachability(loop.scope, directory::usable, probeBy(dial), clock)
     private val relay =
         RelayWhileCutOff(
             reachability,
-            PeerRelay(::relayPeers, ConnectionPool(HttpDialer(loop)::connect), ports.targets, clock),
+            PeerRelay(
+                peers = { relayPeers(mesh.alive(), settings.zone) },
+                connections = ConnectionPool(HttpDialer(loop)::connect),
+                callers = ports.callers,
+                targets = ports.targets,
+                clock = clock,
+            ),
         )
     private val forwarder =
         Forwarder(
-            chooser = TargetChooser(settings.zone, directory, loads, permits, streamLookup, admittedVersions, clock),
+            chooser = TargetChooser(settings.zone, directory, loads, permits, streams.lookup, streams.admitted, clock),
             relay = relay,
-            directory = directory,
-            connections = connections,
-            loads = loads,
+            access = TargetAccess(directory, connections, loads),
             targets = ports.targets,
             errorResponder = ErrorResponder(ports.callers, metrics),
             poison = PoisonList(clock),
-            observer = ResponseObserver(usage::count, limits::onNoLimitNamed, streamOrigins::record),
+            observer = ResponseObserver(usage::count, limits::onNoLimitNamed, streams.origins::record),
             clock = clock,
         )
     private val frontend =
@@ -233,8 +223,10 @@
             clock,
             medianClock::nowMs,
         )
-    private val server = HttpServer(loop, ::callerLimits) { frontend.handle(it) }
-    private val relayServer = HttpServer(loop, ::callerLimits) { frontend.handle(it, isRelayed = true) }
+    private val callerLimits = { sharedState.declaration?.limits ?: CallerLimits() }
+    private val server = HttpServer(loop, callerLimits) { frontend.handle(it) }
+    private val relayServer = HttpServer(loop, callerLimits) { frontend.handle(it, isRelayed = true) }
+    private val activeRequests get() = server.activeRequests + relayServer.activeRequests
     private var stopping = false
 
     /** Opens all sockets and starts all tasks. */
@@ -255,13 +247,13 @@
             VmRegistration(vmRecord, SharedCollections.VMS, catalog, store::call).ensureRegistered()
         }
         loop.scope.launchWithRestart("coordinator") { coordinator.run() }
-        loop.scope.launchWithRestart("stream origins") { streamArchive.run() }
+        loop.scope.launchWithRestart("stream origins") { streams.run() }
         loop.scope.launchWithRestart("request limits") { limits.repeatToPeers { coordinator.isActive } }
     }
 
     /** Hands over the coordinator's tasks, stops accepting callers and waits for active requests; returns when done. */
     suspend fun stop() {
-        log.info { "edge stopping: active_requests=${activeRequests()} coordinator=${coordinator.isActive}" }
+        log.info { "edge stopping: active_requests=$activeRequests coordinator=${coordinator.isActive}" }
         stopping = true
         val deadlineMs = clock() + settings.stopGraceMs - STOP_MARGIN_MS
         coordinatorTasks.handOver()
@@ -270,19 +262,15 @@
         relayServer.beginStop()
         mesh.pingAll()
         val removedAtMs = clock() + LOAD_BALANCER_DELAY_MS
-        while (clock() < deadlineMs && (clock() < removedAtMs || activeRequests() > 0)) {
+        while (clock() < deadlineMs && (clock() < removedAtMs || activeRequests > 0)) {
             delay(STOP_POLL_INTERVAL_MS)
         }
         coordinator.stop()
         server.closeIdle()
         relayServer.closeIdle()
-        log.info { "edge stopped: active_requests=${activeRequests()}" }
+        log.info { "edge stopped: active_requests=$activeRequests" }
     }
 
-    private fun activeRequests() = server.activeRequests + relayServer.activeRequests
-
-    private fun callerLimits() = sharedState.declaration?.limits ?: CallerLimits()
-
     override fun heartbeat(receiver: VmId?) =
         Heartbeat(
             vmRecord = vmRecord,
@@ -366,14 +354,6 @@
             coordinatorTasks.handleCall(call)
         }
 
-    /** Services of which this VM knows more than one software version, listed now or admitted before. */
-    private fun servicesWithSeveralVersions(): Set<ServiceId> =
-        directory
-            .all()
-            .groupBy({ it.service }, { it.software })
-            .filter { (service, listed) -> (listed + admittedVersions.lastKnown(service)).distinct().size > 1 }
-            .keys
-
     /** Calls the coordinator; null if it is unknown or does not reply within [timeoutMs]. */
     private suspend fun callCoordinator(
         call: PeerCall,
@@ -383,25 +363,6 @@
         return if (holder == vmRecord.vm) coordinatorTasks.handleCall(call) else mesh.call(holder, call, timeoutMs)
     }
 
-    private suspend fun canConnect(
-        dial: Dial,
-        target: TargetEntry,
-    ): Boolean =
-        try {
-            dial(target.endpoint, PROBE_TIMEOUT_MS).close()
-            true
-        } catch (e: ExchangeFailure.NotConnected) {
-            log.info { "target not reached by probe: target=${target.id} cause=${e.message}" }
-            false
-        }
-
-    /** Peers that can reach targets for this VM. */
-    private fun relayPeers(): List<RelayPeer> =
-        mesh.alive().filter { it.reachesTargets && !it.stopping }.mapNotNull { peer ->
-            val endpoint = peer.vmRecord.relay?.let(Endpoint::parseOrNull) ?: return@mapNotNull null
-            RelayPeer(peer.vmRecord.vm, endpoint, isInOwnZone = peer.vmRecord.zone == vmRecord.zone)
-        }
-
     /** Peers that can execute store calls for this VM. */
     private fun storeRelays() =
         mesh
@@ -418,7 +379,7 @@
         if (collection == SharedCollections.TARGETS) {
             val targets = directory.all().mapTo(HashSet()) { it.id }
             connections.retain(targets)
-            admittedVersions.retain(directory.all().mapTo(HashSet()) { StreamOrigin.of(it) })
+            streams.onTargetsChanged()
             rateLimits.retain(targets)
         }
         coordinatorTasks.onSharedStateChanged()
@@ -445,9 +406,6 @@
         const val OK = 200
         const val UNAVAILABLE = 503
 
-        /** A connection between availability zones opens within a few milliseconds. */
-        const val PROBE_TIMEOUT_MS = 150L
-
         /** Well below a third of the lease's duration, so that a timed-out renewal is repeated before expiry. */
         const val LEASE_TIMEOUT_MS = 500L
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/streams/StreamRecordCleaner.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/streams/StreamRecordCleaner.kt
@@ -70,7 +70,7 @@
         const val INTERVAL_MS = 60_000L
         const val TIMEOUT_MS = 2_000L
 
-        /** Far above the deadlines of callers, and above the time for which a VM may be cut off with an old directory. */
+        /** Far above the deadlines of callers, and the time for which a VM may be cut off with an old directory. */
         const val RETENTION_MS = 600_000L
     }
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
@@ -9,7 +9,6 @@
 import io.guavashore.edge.batches.ScorerSpec
 import io.guavashore.edge.declared.ModelId
 import io.guavashore.edge.limits.RateStatement
-import io.guavashore.edge.streams.StreamId
 import io.guavashore.net.HttpRequestMessage
 import io.guavashore.net.ResponseHead
 
@@ -26,12 +25,6 @@
     val lastEventId: Long? = null,
 )
 
-/** Resumption of [stream] after event [lastEventId]. */
-data class Resumption(
-    val stream: StreamId,
-    val lastEventId: Long,
-)
-
 /**
  * Metadata in the header fields of a target's response. A property is null if the response does not set it.
  *
@@ -90,12 +83,6 @@
 /** Encodes requests to targets and decodes their responses. */
 class TargetProtocol(
     val forwardedRequest: (request: HttpRequestMessage, context: ForwardingContext) -> HttpRequestMessage,
-    /** Encodes a caller's request for another VM, which handles it like one of its own callers. */
-    val relayedRequest: (
-        request: HttpRequestMessage,
-        deadlineInMs: Long,
-        resumption: Resumption?,
-    ) -> HttpRequestMessage,
     val itemRequest: (item: ItemSpec, host: String, context: ForwardingContext) -> HttpRequestMessage,
     val scoreRequest: (scorer: ScorerSpec, context: ForwardingContext) -> HttpRequestMessage,
     val metadata: (ResponseHead) -> ResponseMetadata,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetReachability.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetReachability.kt
@@ -9,6 +9,8 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
 import io.guavashore.edge.declared.TargetEntry
+import io.guavashore.net.Dial
+import io.guavashore.net.ExchangeFailure
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
@@ -99,3 +101,18 @@
         const val RETRY_INTERVAL_MS = 400L
     }
 }
+
+/** Probe that opens a connection and closes it. */
+internal fun probeBy(dial: Dial): ProbeTarget =
+    { target ->
+        try {
+            dial(target.endpoint, PROBE_TIMEOUT_MS).close()
+            true
+        } catch (e: ExchangeFailure.NotConnected) {
+            log.info { "target not reached by probe: target=${target.id} cause=${e.message}" }
+            false
+        }
+    }
+
+/** A connection between availability zones opens within a few milliseconds. */
+private const val PROBE_TIMEOUT_MS = 150L
