Reachability: a cut is told by two samples of targets, and a probe ends at the first connection

Seen by reading: with most but not all targets down, three probes may all meet dead ones, and a VM would relay or refuse although it reaches others; and a request waited for the slowest of three probes (150 ms) even if another had opened. Change: a second sample of three other targets before the verdict; a probe ends with the first connection that opens.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetReachability.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetReachability.kt
@@ -2,7 +2,8 @@
  * Detects that this VM has lost its links to all targets, while callers, the store and other VMs still reach it.
  *
  * A failed connection alone says little, since targets crash. After one, the VM opens connections to a few other
- * targets in different availability zones; if none opens, it is cut off. It then repeats the probe until one opens.
+ * targets in different availability zones, and if none opens, to a few more; if none of these opens either, it is cut
+ * off. It then repeats the probe until a connection opens.
  */
 package io.guavashore.edge.targets
 
@@ -11,12 +12,14 @@
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.net.Dial
 import io.guavashore.net.ExchangeFailure
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 
 private val log = KotlinLogging.logger {}
@@ -51,10 +54,12 @@
 
     private suspend fun verifyNow() {
         try {
-            val targets = sample()
-            if (targets.size < MIN_TARGETS || reachesAny(targets)) return
+            val targets = mixedByZone()
+            if (targets.size < MIN_TARGETS) return
+            val samples = targets.take(SAMPLE_SIZE * SAMPLES).chunked(SAMPLE_SIZE)
+            if (samples.any { reachesAny(it) }) return
             cutOffSinceMs = clock()
-            log.warn { "cut off from all targets: probed=${targets.map { it.id }}" }
+            log.warn { "cut off from all targets: probed=${samples.flatten().map { it.id }}" }
             scope.launch { awaitReturn() }
         } finally {
             verifiedAtMs = clock()
@@ -65,33 +70,37 @@
     private suspend fun awaitReturn() {
         do {
             delay(RETRY_INTERVAL_MS)
-        } while (!reachesAny(sample()))
+        } while (!reachesAny(mixedByZone().take(SAMPLE_SIZE)))
         log.info { "targets reachable again: after_ms=${cutOffForMs()}" }
         cutOffSinceMs = null
     }
 
+    /** Returns as soon as a connection opens. */
     private suspend fun reachesAny(targets: List<TargetEntry>): Boolean =
-        coroutineScope { targets.map { async { probe(it) } }.awaitAll().any { it } }
-
-    /** A few targets, in as many availability zones as possible. */
-    private fun sample(): List<TargetEntry> {
-        val byZone =
-            usable()
-                .shuffled()
-                .groupBy { it.zone }
-                .values
-                .shuffled()
-        val rounds = byZone.maxOfOrNull { it.size } ?: 0
-        return (0 until rounds)
-            .asSequence()
-            .flatMap { round ->
-                byZone.mapNotNull { it.getOrNull(round) }
-            }.take(SAMPLE_SIZE)
-            .toList()
-    }
+        coroutineScope {
+            val reached = CompletableDeferred<Boolean>()
+            val probes = targets.map { target -> launch { if (probe(target)) reached.complete(true) } }
+            launch {
+                probes.joinAll()
+                reached.complete(false)
+            }
+            reached.await().also { coroutineContext.cancelChildren() }
+        }
+
+    /** All usable targets in random order, so that the first ones are in as many availability zones as possible. */
+    private fun mixedByZone(): List<TargetEntry> =
+        usable()
+            .shuffled()
+            .groupBy { it.zone }
+            .values
+            .shuffled()
+            .flatMap { ofZone -> ofZone.withIndex() }
+            .sortedBy { it.index }
+            .map { it.value }
 
     private companion object {
         const val SAMPLE_SIZE = 3
+        const val SAMPLES = 2
 
         /** With fewer targets, a crash can't be told from a cut. */
         const val MIN_TARGETS = 2
