--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -6,13 +6,8 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.OrganisationId
-import io.guavashore.api.TargetId
-import io.guavashore.api.VmId
-import io.guavashore.edge.declared.Route
 import io.guavashore.edge.declared.RouteKind
 import io.guavashore.edge.declared.TargetEntry
-import io.guavashore.edge.front.RequestMetadata
-import io.guavashore.edge.front.Resumption
 import io.guavashore.edge.limits.OnNoLimitNamed
 import io.guavashore.edge.limits.RateStatement
 import io.guavashore.edge.streams.StreamId
@@ -23,54 +18,12 @@
 import io.guavashore.edge.targets.TargetProtocol
 import io.guavashore.net.ExchangeFailure
 import io.guavashore.net.HttpConnection
-import io.guavashore.net.HttpExchange
 import io.guavashore.net.HttpResponseMessage
 import io.guavashore.net.ResponseHead
 import kotlinx.coroutines.withTimeoutOrNull
 
 private val log = KotlinLogging.logger {}
 
-/** State of one caller's request while it is forwarded. [deadlineMs] is on the monotonic clock. */
-class ForwardedCall(
-    val exchange: HttpExchange,
-    val metadata: RequestMetadata,
-    val route: Route,
-    val organisation: OrganisationId?,
-    val deadlineMs: Long,
-    /** True if another VM relayed the request to this one, which must not relay it again. */
-    val isRelayed: Boolean = false,
-) {
-    var attempts = Attempts()
-    var usageRecorded = false
-
-    /** True if the connection failed during the last attempt. */
-    var connectionFailed = false
-
-    /** True if a target's response was received completely. */
-    var responseCompleted = false
-    val tried = HashSet<TargetId>()
-
-    /** Peers to which the request was relayed. */
-    val triedPeers = HashSet<VmId>()
-    val stream = StreamProgress()
-
-    /** True if the caller resumes a stream that an earlier request began. */
-    val resumesStream: Boolean
-        get() = route.kind == RouteKind.STREAMING && (metadata.resumes != null || metadata.lastEventId != null)
-
-    /** Id of the stream that the response belongs to; null if the caller named none. */
-    val streamId: StreamId? get() = (if (resumesStream) metadata.resumes else metadata.requestId)?.let(::StreamId)
-
-    /** Where a request that is sent on resumes the stream; null if it does not resume one. */
-    fun resumption(): Resumption? {
-        val after = stream.lastEventId ?: metadata.lastEventId ?: return null
-        return streamId?.let { Resumption(it, after) }
-    }
-
-    /** True if the response has begun and can't be resumed on another target. */
-    val mustAbortOnFailure: Boolean get() = exchange.hasBegun && !route.isResumable
-}
-
 /** Records that a request of an organisation began to run. */
 typealias RecordUsage = (OrganisationId) -> Unit
 
