A resumed stream gets no event again from a target that starts from the beginning

Callers would see: events that they had, once more, if a faulty target ignored the event after which a resumed stream goes on (rule ORDER). Cause: the check of event ids compared with the last event of this response only, so the first event of a resumed stream was not checked. Change: the last event that the caller names counts as the last one. Test: 'a resumed stream gets no event again ...' of SoftwareVersionsTest failed before (events 1 and 2 came again) and passes now.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -149,7 +149,7 @@
                     target.id,
                     call.organisation,
                     leftMs,
-                    call.stream.lastEventId ?: call.metadata.lastEventId,
+                    call.lastEventId,
                 )
             connection.send(targets.forwardedRequest(call.exchange.request, context))
             return withTimeoutOrNull(timeoutMs) { CompletedAttempt(handleResponse(call, target, connection)) }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
@@ -55,7 +55,7 @@
             "stream from target: request=${call.metadata.requestId} target=${target?.id} " +
                 "software=${target?.software} " +
                 "resumes=${call.metadata.resumes} " +
-                "after_event=${call.stream.lastEventId ?: call.metadata.lastEventId}"
+                "after_event=${call.lastEventId}"
         }
         val version = targets.metadata(head).weightVersion
         if (call.exchange.hasBegun) {
@@ -104,7 +104,7 @@
         target: TargetEntry?,
         event: StreamEvent,
     ): Boolean {
-        val last = call.stream.lastEventId
+        val last = call.lastEventId
         val id = event.id
         if (last != null && id != null && id != last + 1) return false
         call.stream.weightVersion =
