--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/ForwardedCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/ForwardedCall.kt
@@ -44,7 +44,7 @@
     /** Id of the stream that the response belongs to; null if the caller named none. */
     val streamId: StreamId? get() = (if (resumesStream) metadata.resumes else metadata.requestId)?.let(::StreamId)
 
-    /** Id of the last event that the caller has, of this response or of the one that it resumes; null if there is none. */
+    /** Id of the last event that the caller has, of this response or the one it resumes; null if there is none. */
     val lastEventId: Long? get() = stream.lastEventId ?: metadata.lastEventId
 
     /** Where a request that is sent on resumes the stream; null if it does not resume one. */
