A connection that is closed with a request under way is reset

Cause: the former coordinator, cut off with its zone from 41.5 to 47.4 s, closed the connections on which it had sent items, without a reset. Its kernel went on resending them, so that the last arrived and ran at 50.5 s, three seconds after the zone was back. Ruled out: a step down of the coordinator (none in the logs), an item sent anew after the end (its term ended at 47.7 s). Change: a connection with an exchange under way is closed with a reset (linger 0), which drops what has not arrived. Idle ones end as before. First try, not committed: the option was set on sockets that the peer had closed, which throws; a stream's caller was left waiting (SoftwareVersionsTest hung). Now only while the channel is open. Tests: HttpConnectionTest 'a connection with a request under way is reset ...' failed before (end of stream, -1), a second one guards idle connections.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.EmptyHttpHeaders
@@ -250,6 +251,8 @@
     private fun closeWith(reason: String) {
         if (closeReason == null) closeReason = reason
         responseParts?.close(ExchangeFailure.Broken(reason))
+        // Without a reset, a request that a partition holds up would still be delivered after it, and run.
+        if (busy && channel.isOpen) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         channel.close()
     }
 
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/HttpConnectionTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/HttpConnectionTest.kt
@@ -1,12 +1,16 @@
 package io.guavashore.net
 
+import io.guavashore.api.Endpoint
 import io.guavashore.testing.ScriptedServer
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import java.net.InetAddress
+import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketException
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertContentEquals
@@ -231,4 +235,36 @@
     private companion object {
         const val CUT_COUNT = 200
     }
+
+    @Nested
+    inner class `closing` {
+        /** Closes a connection after a request, and after its response if [complete]; returns what its server reads. */
+        private fun readAfterClose(complete: Boolean): Result<Int> =
+            ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+                val endpoint = Endpoint(server.inetAddress.hostAddress, server.localPort)
+                val connection = onLoop { HttpDialer(loop).connect(endpoint, timeoutMs = 1_000) }
+                server.accept().use { socket ->
+                    onLoop { connection.send(request) }
+                    val input = socket.getInputStream()
+                    while (input.available() == 0) Thread.sleep(5)
+                    input.skip(input.available().toLong())
+                    if (complete) {
+                        socket.getOutputStream().write("HTTP/1.1 204 No Content\r\n\r\n".encodeToByteArray())
+                        onLoop { connection.readResponse(100) }
+                    }
+                    onLoop { connection.close() }
+                    runCatching { input.read() }
+                }
+            }
+
+        @Test
+        fun `a connection with a request under way is reset, so that a delayed request is never delivered`() {
+            val failure = assertFailsWith<SocketException> { readAfterClose(complete = false).getOrThrow() }
+            assertEquals("Connection reset", failure.message)
+        }
+
+        @Test
+        fun `a connection without a request under way ends without a reset`() =
+            assertEquals(-1, readAfterClose(complete = true).getOrThrow())
+    }
 }
