--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
@@ -105,7 +105,7 @@
         return Result(null)
     }
 
-    /** Response of the peer itself. Any status but the two below promises that the request has not run. */
+    /** Response of the peer itself. A 4xx or 503 promises that the request has not run; it may have after any other. */
     private suspend fun handleRefusal(
         call: ForwardedCall,
         head: ResponseHead,
