--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/ForwardedCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/ForwardedCall.kt
@@ -36,6 +36,7 @@
 
     /** True if a target's response was received completely. */
     var responseCompleted = false
+
     /** Run of the last attempt that was sent to a target. */
     var lastRun: Run? = null
     val tried = HashSet<TargetId>()
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
@@ -99,6 +99,11 @@
             val outcome = streams.forward(call, null, head, connection)
             return Result(if (outcome != null && call.mustAbortOnFailure) interrupted(call) else outcome)
         }
+        if (call.exchange.hasBegun) {
+            log.info { "relayed stream does not go on: request=${call.metadata.requestId} status=${head.status}" }
+            connection.close()
+            return Result(interrupted(call))
+        }
         val body = connection.readBody(MAX_BUFFERED_BYTES)
         call.responseCompleted = true
         call.exchange.respond(HttpResponseMessage(head.status, targets.responseHeaders(head), body))
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/RelayingStore.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/RelayingStore.kt
@@ -43,8 +43,16 @@
     /** False from the first failed direct call until one succeeds. */
     val isReachable: Boolean get() = failedSinceMs == null
 
-    /** Calls the store directly. Calls relayed by peers are executed this way, so that none is relayed twice. */
-    suspend fun callDirect(
+    /** Executes the store call of a peer directly, so that none is relayed twice. */
+    suspend fun callForPeer(call: PeerCall.Store): PeerReply {
+        val outcome = callDirect(call.call, call.timeoutMs)
+        return PeerReply.Store(
+            response = if (outcome.isOk) outcome.value else null,
+            fault = if (outcome.isErr) outcome.error else null,
+        )
+    }
+
+    private suspend fun callDirect(
         call: StoreCall,
         timeoutMs: Long,
     ): Result<StoreResponse, StoreCallError> {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -122,7 +122,7 @@
             catalog,
             store::call,
             mesh::alive,
-            ::publish,
+            mesh::publish,
             ::onChanges,
             clock,
             store::endWatches,
@@ -366,29 +366,12 @@
 
     override suspend fun onCall(call: PeerCall): PeerReply =
         when (call) {
-            is PeerCall.Store -> callStore(call)
+            is PeerCall.Store -> store.callForPeer(call)
             is PeerCall.BeginTrial -> suspects.onBeginTrial(call)
             is PeerCall.EndTrial -> suspects.onEndTrial(call)
             else -> coordinatorTasks.handleCall(call)
         }
 
-    private suspend fun callStore(call: PeerCall.Store): PeerReply {
-        val outcome = store.callDirect(call.call, call.timeoutMs)
-        return PeerReply.Store(
-            response = if (outcome.isOk) outcome.value else null,
-            fault = if (outcome.isErr) outcome.error else null,
-        )
-    }
-
-    /**
-     * Sends changes of a collection to the peers. VMs of earlier versions close the connection on changes of a collection
-     * that they don't know, so the peers ask for those of suspect requests once a heartbeat shows that there are any.
-     */
-    private fun publish(message: PeerMessage) {
-        val isSuspects = message is PeerMessage.CollectionChanges && message.collection == SUSPECT_REQUESTS
-        if (isSuspects) mesh.pingAll() else mesh.broadcast(message)
-    }
-
     /** Calls the coordinator; null if it is unknown or does not reply within [timeoutMs]. */
     private suspend fun callCoordinator(
         call: PeerCall,
@@ -457,3 +440,12 @@
         const val STOP_POLL_INTERVAL_MS = 50L
     }
 }
+
+/**
+ * Sends changes of a collection to the peers. VMs of earlier versions close the connection on changes of a collection
+ * that they don't know, so the peers ask for those of suspect requests once a heartbeat shows that there are any.
+ */
+private fun PeerMesh.publish(message: PeerMessage) {
+    val isSuspects = message is PeerMessage.CollectionChanges && message.collection == SUSPECT_REQUESTS
+    if (isSuspects) pingAll() else broadcast(message)
+}
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/RunMonitor.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/RunMonitor.kt
@@ -2,9 +2,9 @@
  * Finds out which targets ended while callers' requests ran on them.
  *
  * A connection that breaks, a run without a response and a caller that leaves do not show by themselves that the target
- * has ended: targets also cut connections, queue requests and are slow. The VM therefore opens a connection to the target,
- * and considers whether the target's entry was removed or replaced. A run from which nothing is heard is checked while it
- * goes on, so that other VMs learn of a target that fell silent long before the request's deadline.
+ * has ended: targets also cut connections, queue requests and are slow. The VM therefore opens a connection to the
+ * target, and considers whether the target's entry was removed or replaced. A run from which nothing is heard is
+ * checked while it goes on, so that other VMs learn of a silent target long before the request's deadline.
  */
 package io.guavashore.edge.suspects
 
@@ -104,7 +104,7 @@
         unresolved.removeIf { it.run.isReported }
     }
 
-    private fun isSilent(run: Run) = !run.isReported && run.connection.silentForMs() >= SILENCE_MS
+    private fun isSilent(run: Run) = !run.isReported && run.connection.silentForMs >= SILENCE_MS
 
     private suspend fun check(run: Run) {
         if (run.isReported) return
@@ -140,7 +140,7 @@
         run.isReported = true
         log.warn {
             "target ended while a request ran: target=${run.target.id} born_ms=${run.target.bornAtMs} " +
-                "fingerprint=${run.fingerprint.value} trial=${run.trial} silent_ms=${run.connection.silentForMs()}"
+                "fingerprint=${run.fingerprint.value} trial=${run.trial} silent_ms=${run.connection.silentForMs}"
         }
         onTargetEnded(run)
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/SuspectGuard.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/SuspectGuard.kt
@@ -1,6 +1,6 @@
 /*
- * Lets requests run on targets, except that equal requests run one at a time or not at all after a target has ended under
- * one of them. See [SuspectRequests] for the decision.
+ * Lets requests run on targets, except that equal requests run one at a time or not at all after a target has ended
+ * under one of them. See [SuspectRequests] for the decision.
  */
 package io.guavashore.edge.suspects
 
@@ -87,7 +87,7 @@
         }
     }
 
-    /** Returns the verdict under which the request may run or not. A trial keeps the queue's turn until it is settled. */
+    /** Returns the verdict under which the request may run or not. A trial keeps the turn until it is settled. */
     private suspend fun awaitTurn(
         queue: Queue,
         fingerprint: RequestFingerprint,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/SuspectRecord.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/SuspectRecord.kt
@@ -9,8 +9,8 @@
 /**
  * State of a suspect request.
  *
- * Records of one request are merged in any order: the one with more completions replaces the other, and otherwise the larger
- * values hold.
+ * Records of one request are merged in any order: the one with more completions replaces the other, and otherwise the
+ * larger values hold.
  *
  * @property completions number of times that a run came to its end after targets had ended; each clears the request
  * @property endedTargets targets that ended while the request ran on them, since the last completion
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/SuspectRequests.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/SuspectRequests.kt
@@ -1,8 +1,8 @@
 /*
  * Requests under which targets ended, as known to one VM. No I/O.
  *
- * Load pattern: a request that ends every target that runs it is repeated at all VMs and takes a service down, target by
- * target. Targets also end for reasons of their own, all at once, while many equal and sound requests run on them.
+ * Load pattern: a request that ends every target that runs it is repeated at all VMs and takes a service down, target
+ * by target. Targets also end for reasons of their own, all at once, while many equal and sound requests run on them.
  *
  * Both look alike until the request runs again. After a target has ended under a request, equal requests run one at a
  * time over all VMs, as trials. A run that comes to its end shows that the request is sound. After [TRIALS] trials have
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -86,7 +86,7 @@
     val isOpen: Boolean get() = channel.isActive && closeReason == null
 
     /** Time since the last request was sent or the last bytes arrived. */
-    fun silentForMs(): Long = (System.nanoTime() - maxOf(sentAtNs, receivedAtNs)) / NANOS_PER_MS
+    val silentForMs: Long get() = (System.nanoTime() - maxOf(sentAtNs, receivedAtNs)) / NANOS_PER_MS
 
     /** True if another request may be sent on this connection at [nowNs], in monotonic nanoseconds. */
     fun isReusable(nowNs: Long): Boolean {
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpExchange.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpExchange.kt
@@ -3,6 +3,7 @@
  */
 package io.guavashore.net
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
@@ -18,6 +19,8 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 
+private val log = KotlinLogging.logger {}
+
 /**
  * Request of a caller with its response. Send the response either with [respond] or with [begin], [write] and [finish].
  * Use [abort] if a response can't be completed, so that the caller can't take it for complete.
@@ -104,6 +107,8 @@
         } catch (e: CancellationException) {
             if (isCallerConnected) handlerFailed()
             throw e
+        } catch (e: Exception) {
+            log.error(e) { "handler failed unexpectedly: method=${request.method} uri=${request.uri} state=$state" }
         }
         if (state != State.DONE) handlerFailed()
     }
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/HttpConnectionTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/HttpConnectionTest.kt
@@ -120,6 +120,16 @@
         assertFalse(result.reusable)
     }
 
+    @Test
+    fun `a response without a length that is cut off anywhere in its head is incomplete`() {
+        val head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n"
+        (1 until head.length).forEach { length ->
+            assertFailsWith<ExchangeFailure.Broken>("cut at $length") {
+                exchange(head.take(length), after = { it.close() })
+            }
+        }
+    }
+
     @Test
     fun `connecting to a port without a listener fails as not connected`() {
         val unusedPort = java.net.ServerSocket(0).use { it.localPort }
@@ -202,6 +212,23 @@
             }
         }
 
+        @Test
+        fun `a request whose handler throws is answered with status 500`() =
+            serve({ error("unexpected") }) { port ->
+                val response = sendAndRead(port, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                assertTrue(response.startsWith("HTTP/1.1 500"), response)
+            }
+
+        @Test
+        fun `a response whose handler throws midway is not terminated as complete`() =
+            serve({
+                it.begin(ResponseHead(200, Headers.NONE))
+                it.write("abc".encodeToByteArray())
+                error("unexpected")
+            }) { port ->
+                assertFalse(sendAndRead(port, "GET / HTTP/1.1\r\nHost: h\r\n\r\n").endsWith("0\r\n\r\n"))
+            }
+
         @Test
         fun `an aborted response is not terminated as complete`() =
             serve({
