--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/ForwardedCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/ForwardedCall.kt
@@ -55,6 +55,10 @@
     /** Id of the last event that the caller has, of this response or the one it resumes; null if there is none. */
     val lastEventId: Long? get() = stream.lastEventId ?: metadata.lastEventId
 
+    /** This call before its first attempt, with a deadline of [latestMs] at most. */
+    fun endingBy(latestMs: Long) =
+        ForwardedCall(exchange, metadata, route, organisation, minOf(deadlineMs, latestMs), isRelayed)
+
     /** Where a request that is sent on resumes the stream; null if it does not resume one. */
     fun resumption(): Resumption? {
         val after = lastEventId ?: return null
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/Frontend.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/Frontend.kt
@@ -33,6 +33,8 @@
     private val metrics: Metrics,
     private val clock: MonotonicClock,
     private val wallClock: WallClock,
+    /** Monotonic time at which the VM ends; null unless it is stopping. */
+    private val stopsAtMs: () -> Long?,
 ) {
     /** Handles a request; [isRelayed] is true if another VM received it from the caller and relayed it here. */
     suspend fun handle(
@@ -61,9 +63,17 @@
             )
         }
         if (route.kind == RouteKind.BATCH) return submit(exchange, metadata, declaration, route, organisation)
-        forwarder.forward(
-            ForwardedCall(exchange, metadata, route, organisation, deadlineMs(metadata, route), isRelayed),
-        )
+        val call =
+            ForwardedCall(exchange, metadata, route, organisation, deadlineMs(metadata, route), isRelayed)
+        forwardUnlessStopping(call)
+    }
+
+    private suspend fun forwardUnlessStopping(call: ForwardedCall) {
+        val stopMs = stopsAtMs() ?: return forwarder.forward(call)
+        if (!isTakenBeforeStop(call.route, call.deadlineMs - clock(), stopMs - clock())) {
+            return refuse(call.exchange, call.metadata, UNAVAILABLE, "this VM is stopping", STOPPING_RETRY_AFTER_MS)
+        }
+        forwarder.forward(call.endingBy(stopMs))
     }
 
     private suspend fun handleBatchCall(
@@ -90,7 +100,7 @@
                             call.batch,
                             owner,
                             call.after,
-                            minOf(call.waitMs, MAX_WAIT_MS),
+                            minOf(call.waitMs, MAX_WAIT_MS, stopsAtMs()?.let { maxOf(0, it - clock()) } ?: MAX_WAIT_MS),
                         ).map(protocol.resultPage)
                 is BatchCall.ReadBody ->
                     batchGateway
@@ -178,6 +188,9 @@
         /** A VM receives the declaration within about this time after its start. */
         const val STARTUP_RETRY_AFTER_MS = 300L
 
+        /** Another VM serves the request at once. */
+        const val STOPPING_RETRY_AFTER_MS = 10L
+
         /** The store rejects calls only for short periods. */
         const val STORE_RETRY_AFTER_MS = 400L
 
--- /dev/null
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/StopPolicy.kt
@@ -0,0 +1,26 @@
+/*
+ * Decides which requests a VM that is stopping still takes. No I/O.
+ *
+ * Load pattern: the load balancer and callers with open connections go on sending for seconds after the stop signal, up
+ * to the end of the grace period. A request that would still run at its end is refused at once, so that another VM
+ * serves it; one that is taken gets a response before the end.
+ */
+package io.guavashore.edge.front
+
+import io.guavashore.edge.declared.Route
+import io.guavashore.edge.declared.RouteKind
+
+/** Whether a request on [route] is taken that has [timeLeftMs] until its deadline, [stopInMs] before the VM ends. */
+fun isTakenBeforeStop(
+    route: Route,
+    timeLeftMs: Long,
+    stopInMs: Long,
+): Boolean {
+    // The objective of a stream is the time to its first event, and tells nothing about its end.
+    if (route.kind == RouteKind.STREAMING) return stopInMs >= timeLeftMs
+    return stopInMs >= minOf(timeLeftMs, maxOf(route.objectiveMs * OBJECTIVES_PER_REQUEST, MIN_STOP_MS))
+}
+
+/** The slowest requests take about the whole objective, and may be retried. */
+private const val OBJECTIVES_PER_REQUEST = 4L
+private const val MIN_STOP_MS = 1_000L
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -236,6 +236,7 @@
             metrics,
             clock,
             medianClock::nowMs,
+            stopsAtMs = { stopsAtMs },
         )
     private val callerLimits = { sharedState.declaration?.limits ?: CallerLimits() }
     private val server = HttpServer(loop, callerLimits) { frontend.handle(it) }
@@ -243,6 +244,9 @@
     private val activeRequests get() = server.activeRequests + relayServer.activeRequests
     private var stopping = false
 
+    /** Monotonic time by which all requests have to be answered; null unless the VM is stopping. */
+    private var stopsAtMs: Long? = null
+
     /** Opens all sockets and starts all tasks. */
     suspend fun start() {
         log.info {
@@ -274,6 +278,7 @@
         log.info { "edge stopping: active_requests=$activeRequests coordinator=${coordinator.isActive}" }
         stopping = true
         val deadlineMs = clock() + settings.stopGraceMs - STOP_MARGIN_MS
+        stopsAtMs = deadlineMs - RESPONSE_MARGIN_MS
         coordinatorTasks.handOver()
         coordinator.release()
         server.beginStop()
@@ -437,6 +442,9 @@
 
         /** Part of the grace period reserved for closing sockets. */
         const val STOP_MARGIN_MS = 700L
+
+        /** Time in which the last responses reach their callers. */
+        const val RESPONSE_MARGIN_MS = 150L
         const val STOP_POLL_INTERVAL_MS = 50L
     }
 }
