--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/RunMonitor.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/RunMonitor.kt
@@ -35,6 +35,9 @@
     var isHarmless = false
 
     internal var isReported = false
+
+    /** Monotonic time from which the target may be checked while the run is silent. */
+    internal var nextCheckMs = 0L
     internal var check: Job? = null
 
     /** Returns once it is known whether the target ended, as far as that can be told. */
@@ -92,7 +95,10 @@
         while (true) {
             delay(WATCH_INTERVAL_MS)
             val silent = running.groupBy { it.target.id }.values.filter { runs -> runs.all(::isSilent) }
-            silent.forEach { runs -> scope.launch { if (hasEnded(runs.first().target)) runs.forEach(::report) } }
+            silent.forEach { runs ->
+                runs.forEach { it.nextCheckMs = clock() + CHECK_INTERVAL_MS }
+                scope.launch { if (hasEnded(runs.first().target)) runs.forEach(::report) }
+            }
         }
     }
 
@@ -104,7 +110,8 @@
         unresolved.removeIf { it.run.isReported }
     }
 
-    private fun isSilent(run: Run) = !run.isReported && run.connection.silentForMs >= SILENCE_MS
+    private fun isSilent(run: Run) =
+        !run.isReported && run.connection.silentForMs >= SILENCE_MS && clock() >= run.nextCheckMs
 
     private suspend fun check(run: Run) {
         if (run.isReported) return
@@ -151,6 +158,9 @@
         /** A target that has free slots or sends a stream is heard of more often. */
         const val SILENCE_MS = 500L
 
+        /** A new connection to a target is charged. */
+        const val CHECK_INTERVAL_MS = 2_000L
+
         /** The entry of a target that has ended is removed within this time. */
         const val UNRESOLVED_MS = 5_000L
         const val MAX_UNRESOLVED = 1_000
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/SuspectGuard.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/SuspectGuard.kt
@@ -72,9 +72,9 @@
         queue.requests++
         var trial: Trial? = null
         try {
-            val waitUntilMs = clock() + (deadlineMs - clock()) / 2
+            val maxWaitMs = (deadlineMs - clock()) / 2
             val verdict =
-                withTimeoutOrNull(waitUntilMs - clock()) { awaitTurn(queue, fingerprint, deadlineMs) { trial = it } }
+                withTimeoutOrNull(maxWaitMs) { awaitTurn(queue, fingerprint, deadlineMs) { trial = it } }
             if (verdict == null) {
                 log.info { "trial of an equal request takes too long: fingerprint=${fingerprint.value}" }
                 return Guarded.Refused(TRIAL_RETRY_AFTER_MS)
