A stopping VM goes on taking streams while most of them would end before it does

Cause (on reading the diff): a stream was refused as soon as its deadline lay after the end of the VM, so that nearly all streams were refused from the stop signal on, although the load balancer sends them for seconds. Change: a stream is taken while 4.2 s are left. The bound on the wait for results has a name of its own.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/Frontend.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/Frontend.kt
@@ -100,7 +100,7 @@
                             call.batch,
                             owner,
                             call.after,
-                            minOf(call.waitMs, MAX_WAIT_MS, stopsAtMs()?.let { maxOf(0, it - clock()) } ?: MAX_WAIT_MS),
+                            minOf(call.waitMs, maxWaitMs()),
                         ).map(protocol.resultPage)
                 is BatchCall.ReadBody ->
                     batchGateway
@@ -164,6 +164,12 @@
         exchange.respond(protocol.refusal(status, message, retryAfterMs, metadata))
     }
 
+    /** Upper bound on the wait for a result, which must end before the VM does. */
+    private fun maxWaitMs(): Long {
+        val stopMs = stopsAtMs() ?: return MAX_WAIT_MS
+        return (stopMs - clock()).coerceIn(0, MAX_WAIT_MS)
+    }
+
     private fun deadlineMs(
         metadata: RequestMetadata,
         route: Route,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/StopPolicy.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/StopPolicy.kt
@@ -17,10 +17,14 @@
     stopInMs: Long,
 ): Boolean {
     // The objective of a stream is the time to its first event, and tells nothing about its end.
-    if (route.kind == RouteKind.STREAMING) return stopInMs >= timeLeftMs
-    return stopInMs >= minOf(timeLeftMs, maxOf(route.objectiveMs * OBJECTIVES_PER_REQUEST, MIN_STOP_MS))
+    val isStream = route.kind == RouteKind.STREAMING
+    val neededMs = if (isStream) MIN_STREAM_MS else maxOf(route.objectiveMs * OBJECTIVES_PER_REQUEST, MIN_REQUEST_MS)
+    return stopInMs >= minOf(timeLeftMs, neededMs)
 }
 
 /** The slowest requests take about the whole objective, and may be retried. */
 private const val OBJECTIVES_PER_REQUEST = 4L
-private const val MIN_STOP_MS = 1_000L
+private const val MIN_REQUEST_MS = 1_000L
+
+/** More than most streams take. */
+private const val MIN_STREAM_MS = 4_200L
