--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -15,6 +15,8 @@
     static final String KEY = "2b9wu3fexd9dnn2ctnfz";
     static final String HOST = "ficu95.example";
     static final String MODEL = "daka510000";
+    private static final int METRICS_PORT = 9_464;
+    private String network;
     final Record record;
     final Store store = new Store();
     final List<Vm> vms = new ArrayList<>();
@@ -29,25 +31,36 @@
 
     /** Creates VMs that aren't started yet: one in each zone z1, z2, ... */
     void createVms(int count) throws IOException {
-        int base = freePorts(count);
+        network = freeNetwork(count);
+        int base = freePorts(network, count);
         for (int n = 1; n <= count; n++) {
             String name = "edge-z" + n + "-1";
-            vms.add(new Vm(name, "127.0.0." + (10 + n), "z" + n, base, store.port(name), folder));
+            vms.add(new Vm(name, network + n, "z" + n, base, store.port(name), folder));
         }
     }
 
+    /** Loopback addresses at which no other process serves metrics: their port is fixed. */
+    private static String freeNetwork(int count) throws IOException {
+        long pid = ProcessHandle.current().pid();
+        for (int n = 0; n < 50; n++) {
+            String network = "127." + (1 + (pid / 200 + n) % 200) + "." + (1 + pid % 200) + ".";
+            if (isFree(network, count, METRICS_PORT, METRICS_PORT + 1)) return network;
+        }
+        throw new IOException("no free addresses");
+    }
+
     /** First of ten ports that are free at all addresses of the VMs. */
-    private static int freePorts(int count) throws IOException {
+    private static int freePorts(String network, int count) throws IOException {
         for (int base = 20_000 + (int) (ProcessHandle.current().pid() % 500) * 20; base < 60_000; base += 20) {
-            if (isFree(base, count)) return base;
+            if (isFree(network, count, base, base + 10)) return base;
         }
         throw new IOException("no free ports");
     }
 
-    private static boolean isFree(int base, int count) {
+    private static boolean isFree(String network, int count, int from, int to) {
         for (int n = 1; n <= count; n++) {
-            for (int port = base; port < base + 10; port++) {
-                try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName("127.0.0." + (10 + n)))) {
+            for (int port = from; port < to; port++) {
+                try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName(network + n))) {
                     probe.setReuseAddress(true);
                 } catch (IOException e) {
                     return false;
