--- a/review/standins/OddEntry.java
+++ b/review/standins/OddEntry.java
@@ -7,7 +7,7 @@
 final class OddEntry extends Case {
     private static final String BATCH = "7c41e09b52d6a3f8";
     private static final int ITEMS = 32;
-    private static final int DEPTH = 400;
+    private static final int DEPTH = 1_500;
     private static final long DRAIN_MS = 2_000;
     private static final long SERVES_ON_MS = 1_500;
     private static final long TRAINER_WAITS_MS = 12_000;
