--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -43,6 +43,17 @@
     volatile java.util.function.ToIntFunction<String> eventsOf = id -> events;
     volatile java.util.function.ToLongFunction<String> eventMsOf = id -> eventMs;
 
+    /** Orders as they arrive: holder, generation number and answer. */
+    record Order(String holder, long fence, long version, int status, long atMs) {}
+
+    final List<Order> ordersSeen = new CopyOnWriteArrayList<>();
+
+    /** Address in the worker's entry, if it is not the worker's own. */
+    volatile String listedAddress;
+
+    /** Called after the weights have changed. */
+    volatile Runnable onLoaded = () -> { };
+
     /** If true, the data of each event names the run that made it. */
     volatile boolean namesRuns;
 
@@ -69,7 +80,7 @@
 
     Map<String, Object> entry(String state) {
         Map<String, Object> entry =
-            Json.of("service", service, "address", server.address(), "zone", zone, "version", "v1", "slots", (long) slots,
+            Json.of("service", service, "address", listedAddress == null ? server.address() : listedAddress, "zone", zone, "version", "v1", "slots", (long) slots,
                 "state", state, "cold_left_ms", 0L, "sequence", orders, "born", bornMs);
         if (model != null) {
             entry.put("stage", "both");
@@ -175,13 +186,17 @@
     private synchronized boolean order(Http.Message request, OutputStream out) throws IOException {
         Map<String, Object> order = Json.object(request.text());
         Object expect = order.get("expect");
-        if (expect != null && (long) expect != orders) {
-            Http.json(out, 409, "{}");
-            return true;
+        long wanted = (long) order.get("version");
+        int status = expect != null && (long) expect != orders ? 409 : wanted == version ? 200 : 202;
+        ordersSeen.add(new Order((String) order.get("holder"), (long) order.get("fence"), wanted, status, Store.now()));
+        record.line("worker " + id + " gets an order: holder " + order.get("holder") + ", fence " + order.get("fence") + ", version " + wanted
+            + ", expect " + expect + " -> " + status);
+        if (status == 202) {
+            orders++;
+            version = wanted;
         }
-        orders++;
-        version = (long) order.get("version");
-        Http.json(out, 202, "{}");
+        Http.json(out, status, "{}");
+        if (status == 202) onLoaded.run();
         return true;
     }
 }
