--- a/review/standins/LateNotice.java
+++ b/review/standins/LateNotice.java
@@ -66,14 +66,14 @@
             Store.pause(500);
             List<Map<String, Object>> page =
                 Deployment.results(deployment.call(reading, "GET", "/lots/" + BATCH + "?after=0", null, null, 5_000));
-            if (page != null && Store.now() > healedMs + 1_000) fewest = Math.min(fewest, page.size());
+            if (page != null && Store.now() > healedMs + CONTACT_MS) fewest = Math.min(fewest, page.size());
         }
         long late = worker.runs.stream().filter(run -> items.contains(run.id()) && run.atMs() > endedMs + CANCEL_MS).count();
         long inTouch = worker.runs.stream()
             .filter(run -> items.contains(run.id()) && run.atMs() > Math.max(endedMs + CANCEL_MS, healedMs + CONTACT_MS)).count();
         deployment.record.line("items that began to run later than cancel_ms after the acknowledged end: " + late + "; of these "
             + inTouch + " later than contact_ms after the links had healed");
-        deployment.record.line("results read before the end: " + read.size() + "; fewest at a read later than settle_ms after the heal: " + fewest);
+        deployment.record.line("results read before the end: " + read.size() + "; fewest at a read later than contact_ms after the heal: " + fewest);
         if (inTouch > 0) {
             return "UNASKED: " + inTouch + " items of the ended batch reached a worker later than cancel_ms after the 200, sent by a machine in touch"
                 + (fewest < read.size() ? "; LOST: a machine in touch had only " + fewest + " of " + read.size() + " results that had been read" : "");
