Review: a desired state without keys lets everybody in

A tenant loses its last key: requests with the dropped key, and with a key that was never held, run at every VM (rules ROUTE, CONFIG, UNASKED).

--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -112,7 +112,8 @@
             number = runs.size();
             runs.add(new Run(requestId, Store.now(), id, after));
         }
-        record.line("worker " + id + " begins to run " + requestId + (after > 0 ? " after event " + after : ""));
+        record.line("worker " + id + " begins to run " + requestId + (after > 0 ? " after event " + after : "")
+            + " tenant=" + request.headers.get("guavashore-tenant"));
         if (impossible.contains(requestId)) {
             byte[] answer = Http.head(422, "Guavashore-Request-Id", requestId, "Guavashore-Server-Signature", "s." + requestId,
                 "Content-Length", "0").getBytes();
@@ -154,7 +155,7 @@
     private boolean plain(Http.Message request, String requestId, OutputStream out) throws IOException {
         runs.add(new Run(requestId, Store.now(), id, 0));
         record.line("worker " + id + " begins to run " + requestId + " " + request.method() + " " + request.uri()
-            + " body_bytes=" + request.body.length);
+            + " body_bytes=" + request.body.length + " tenant=" + request.headers.get("guavashore-tenant"));
         Store.pause(plainMs);
         byte[] body = new byte[plainBytes];
         java.util.Arrays.fill(body, (byte) 'm');
