Review: a refused request runs with a truncated body

Under a burst that fills the memory for bodies, a chunked request is answered 503 and still sent to a worker, without the chunks that found no room (rule UNASKED).

--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -52,6 +52,12 @@
     /** If true, an answer of 422 is sent a second time, late: where the next answer on its channel is due. */
     volatile boolean repeats422;
 
+    /** Size of the body of each run of a plain request, by its id and a number. */
+    final Map<String, Integer> bodyBytes = new ConcurrentHashMap<>();
+
+    /** If true, runs of plain requests are not recorded one by one. */
+    volatile boolean isQuiet;
+
     /** Size of the answers to plain requests. */
     volatile int plainBytes = 800;
     volatile long plainMs = 20;
@@ -154,7 +160,8 @@
 
     private boolean plain(Http.Message request, String requestId, OutputStream out) throws IOException {
         runs.add(new Run(requestId, Store.now(), id, 0));
-        record.line("worker " + id + " begins to run " + requestId + " " + request.method() + " " + request.uri()
+        bodyBytes.put(requestId + "#" + runs.size(), request.body.length);
+        if (!isQuiet) record.line("worker " + id + " begins to run " + requestId + " " + request.method() + " " + request.uri()
             + " body_bytes=" + request.body.length + " tenant=" + request.headers.get("guavashore-tenant"));
         Store.pause(plainMs);
         byte[] body = new byte[plainBytes];
