Review: items of a model without an engine of its own never run

A worker is lost for good; the items of the model that was assigned to it wait until their step is out of time, beside idle workers that hold the model (rule LOST).

--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -35,6 +35,9 @@
     private long version = 1;
     private long orders;
 
+    /** Models that the worker holds beside its first, all at version 1; no orders for them are expected. */
+    volatile List<String> otherModels = List.of();
+
     /** Number of events of each text and the time for each. */
     volatile int events = 5;
     volatile long eventMs = 10;
@@ -60,6 +63,7 @@
 
     /** Size of the answers to plain requests. */
     volatile int plainBytes = 800;
+    volatile java.util.function.ToIntFunction<String> plainBytesOf = request -> plainBytes;
     volatile long plainMs = 20;
 
     Worker(String id, String service, String zone, String model, int slots, Record record) throws IOException {
@@ -79,11 +83,18 @@
                 "state", state, "cold_left_ms", 0L, "sequence", orders, "born", bornMs);
         if (model != null) {
             entry.put("stage", "both");
-            entry.put("models", List.of(Json.of("name", model, "version", version, "adapters", List.of())));
+            entry.put("models", models());
         }
         return entry;
     }
 
+    /** All models that the worker holds. */
+    private List<Object> models() {
+        List<Object> models = new ArrayList<>(List.of(Json.of("name", model, "version", version, "adapters", List.of())));
+        otherModels.forEach(name -> models.add(Json.of("name", name, "version", 1L, "adapters", List.of())));
+        return models;
+    }
+
     private boolean handle(Http.Message request, Socket socket, OutputStream out) throws IOException {
         byte[] late = lateCopies.remove(socket);
         if (late != null) {
@@ -141,6 +152,11 @@
         return true;
     }
 
+    /** Number of requests that run at the moment. */
+    long running() {
+        return slots - free.availablePermits();
+    }
+
     /** The whole text of an item, as results list it. */
     String wholeText(String item) {
         List<String> lines = new ArrayList<>();
@@ -164,7 +180,7 @@
         if (!isQuiet) record.line("worker " + id + " begins to run " + requestId + " " + request.method() + " " + request.uri()
             + " body_bytes=" + request.body.length + " tenant=" + request.headers.get("guavashore-tenant"));
         Store.pause(plainMs);
-        byte[] body = new byte[plainBytes];
+        byte[] body = new byte[plainBytesOf.applyAsInt(requestId)];
         java.util.Arrays.fill(body, (byte) 'm');
         out.write(Http.head(200, "Guavashore-Request-Id", requestId, "Guavashore-Server-Signature", "s." + requestId,
             "Content-Length", "" + body.length).getBytes());
@@ -175,7 +191,7 @@
 
     private boolean report(OutputStream out) throws IOException {
         Map<String, Object> report = Json.of("stage", "both", "models",
-            List.of(Json.of("name", model, "version", version, "adapters", List.of())), "busy", false, "sequence", orders);
+            models(), "busy", false, "sequence", orders);
         Http.json(out, 200, Json.write(report));
         return true;
     }
