--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standins/run-case" JoinedTexts "$(dirname "$0")"
+exec "$(dirname "$0")/../standins/run-case" LastEngine "$(dirname "$0")"
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standins/run-case" RefusedThenRun "$(dirname "$0")"
+exec "$(dirname "$0")/../standins/run-case" SecondCopy "$(dirname "$0")"
