Review: only what the five cases need stands beside them

Case 3 also checks that no worker has finished the items and that the workers were under half full, and counts steady state from the removal of the lost worker's entry plus contact_ms.

--- a/review/standins/LastEngine.java
+++ b/review/standins/LastEngine.java
@@ -12,13 +12,14 @@
 final class LastEngine extends Case {
     private static final int MODELS = 6;
     private static final int ITEMS = 12;
+    private static final int SLOTS = 4;
     private static final long HEARTBEAT_MS = 1_200;
 
     /** Time that a trainer allows a step, and the time at no worker after which an item of it is lost. */
     private static final long STEP_MS = 12_000;
     private static final long AT_NO_WORKER_MS = 5_000;
 
-    /** Time after a disruption from which the state counts as steady. */
+    /** Time from which the state counts as steady, after the entry of the lost worker is removed. */
     private static final long CONTACT_MS = 3_000;
 
     public static void main(String[] args) throws Exception {
@@ -32,7 +33,7 @@
         for (int n = 1; n <= MODELS; n++) models.add("model" + n);
         List<Worker> engines = new ArrayList<>();
         for (int n = 1; n <= MODELS; n++) {
-            Worker engine = deployment.addWorker("i-engine-" + n, "huvo11a", "z" + (1 + n % 3), true, 4);
+            Worker engine = deployment.addWorker("i-engine-" + n, "huvo11a", "z" + (1 + n % 3), true, SLOTS);
             engine.otherModels = models;
             engine.events = 10;
             engine.eventMs = 100;
@@ -54,35 +55,42 @@
         String step = "step-" + model;
         long startMs = Store.now();
         ask(deployment, vm, step, model, ITEMS);
-        Store.pause(600);
+        Store.pause(150);
         Set<String> early = begun(engines, step);
         if (early.isEmpty()) throw new Deployment.CannotRun("no item of the step has begun");
         Worker lost = engines.stream().filter(engine -> !begun(List.of(engine), step).isEmpty()).findFirst().orElseThrow();
         long steadyMs = Store.now();
         if (TROUBLE) {
-            steadyMs += CONTACT_MS;
             deployment.record.line("worker " + lost.id + " is lost for good");
             lost.server.close();
             Store.pause(3 * HEARTBEAT_MS);
             deployment.store.remove("servers", lost.id);
             deployment.record.line("store: the entry of " + lost.id + " is removed");
+            steadyMs = Store.now() + CONTACT_MS;
         }
         int listed = 0;
         long lastRunMs = 0;
+        long fullest = 0;
         while (Store.now() < startMs + STEP_MS && listed < ITEMS) {
             Store.pause(500);
             List<Map<String, Object>> results = Deployment.results(
                 Http.call(vm.front(), "GET", "/lots/" + step + "?after=0", 3_000, null, "Host", Deployment.HOST, "X-Api-Key", Deployment.KEY));
             if (results != null) listed = results.size();
+            fullest = Math.max(fullest, engines.stream().filter(engine -> engine != lost).mapToLong(Worker::running).sum());
         }
         for (Worker engine : engines) for (Worker.Run run : engine.runs) lastRunMs = Math.max(lastRunMs, run.atMs());
         long idleMs = startMs + STEP_MS - Math.max(lastRunMs, steadyMs);
-        long othersRunning = engines.stream().filter(engine -> engine != lost).mapToLong(Worker::running).sum();
+        long unfinished = 0;
+        for (int n = 1; n <= ITEMS; n++) {
+            String item = step + "-" + n;
+            if (engines.stream().noneMatch(engine -> engine.finished.contains(item))) unfinished++;
+        }
+        long slots = SLOTS * (MODELS - 1);
         deployment.record.line("after " + (Store.now() - startMs) + " ms " + listed + " of " + ITEMS + " items are listed; no run of any item began in the last "
-            + idleMs + " ms of steady state before the end of the step; the other workers run " + othersRunning + " of their " + 4 * (MODELS - 1) + " slots");
-        if (listed == ITEMS) return null;
-        if (idleMs < AT_NO_WORKER_MS) return null;
-        return (ITEMS - listed) + " of " + ITEMS + " items were at no worker for " + idleMs + " ms while " + (MODELS - 1) + " sound workers were idle";
+            + idleMs + " ms of steady state before the end of the step; no worker has finished "
+            + unfinished + " of the items; the other workers ran at most " + fullest + " requests on their " + slots + " slots");
+        boolean isBroken = unfinished > 0 && idleMs >= AT_NO_WORKER_MS && fullest * 2 < slots;
+        return !isBroken ? null : unfinished + " of " + ITEMS + " items were at no worker for " + idleMs + " ms while " + (MODELS - 1) + " sound workers were idle";
     }
 
     /** Ids of the items of a batch that a worker has begun to run. */
@@ -108,7 +116,7 @@
     }
 
     private static Map<String, Object> declaration(List<String> models) {
-        Map<String, Object> declaration = Deployment.declaration(7, 4);
+        Map<String, Object> declaration = Deployment.declaration(7, SLOTS);
         List<Object> names = new ArrayList<>();
         models.forEach(model -> names.add(Json.of("name", model)));
         for (Object service : (List<?>) declaration.get("services")) {
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -6,22 +6,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * The platform's store and the calls of its singleton duties. Each VM has a port of its own, so that the store can
- * treat VMs differently. Answers take 4 ms.
+ * The platform's store and the calls of its singleton duties. Each VM has a port of its own.
+ * Answers take 4 ms.
  */
 final class Store {
     private record Stored(long revision, long createdAt, Object spec, Object status) {}
 
     private record Event(long revision, String kind, String name, Stored stored, boolean deleted) {}
 
-    /** Port for one VM; refuses its calls with 503 while {@link #isTurnedAway}. */
+    /** Port for one VM. */
     final class Port {
         final String vm;
         final Http.Server server;
-        volatile boolean isTurnedAway;
 
         Port(String vm) throws IOException {
             this.vm = vm;
@@ -29,32 +27,13 @@
         }
     }
 
-    interface Hook {
-        /** Called after a write has been carried out; returns true if its answer is lost. */
-        boolean losesAnswer(Port port, String method, String kind, String name);
-    }
-
     private static final long ANSWER_MS = 4;
     private final Map<String, TreeMap<String, Stored>> kinds = new LinkedHashMap<>();
     private final List<Event> history = new ArrayList<>();
     private long revision = 100;
-    private final List<Port> ports = new CopyOnWriteArrayList<>();
-    volatile Hook hook = (port, method, kind, name) -> false;
-    final List<String> dutyCalls = new CopyOnWriteArrayList<>();
 
     synchronized Port port(String vm) throws IOException {
-        Port port = new Port(vm);
-        ports.add(port);
-        return port;
-    }
-
-    /** The store goes down: connections are reset and new ones refused, until {@link #comeBack}. */
-    void goDown() {
-        ports.forEach(port -> port.server.close());
-    }
-
-    void comeBack() throws IOException {
-        for (Port port : ports) port.server.open();
+        return new Port(vm);
     }
 
     synchronized void put(String kind, String name, Object spec) {
@@ -83,14 +62,9 @@
     private boolean handle(Port port, Http.Message request, Socket socket, OutputStream out) throws IOException {
         pause(ANSWER_MS);
         if (!request.path().startsWith("/objects/")) {
-            dutyCalls.add(port.vm + " " + request.path() + " " + request.text());
             Http.json(out, 200, "{}");
             return true;
         }
-        if (port.isTurnedAway) {
-            Http.json(out, 503, "{}");
-            return true;
-        }
         String[] path = request.path().substring("/objects/".length()).split("/");
         String name = path.length > 1 ? path[1] : null;
         Object[] result;
@@ -110,8 +84,6 @@
             default:
                 result = delete(path[0], name);
         }
-        boolean isWrite = !request.method().equals("GET");
-        if (isWrite && hook.losesAnswer(port, request.method(), path[0], name)) return false;
         Http.json(out, (int) result[0], Json.write(result[1]));
         return true;
     }
--- a/review/standins/Vm.java
+++ b/review/standins/Vm.java
@@ -77,14 +77,6 @@
         }
     }
 
-    boolean isRunning() { return process != null && process.isAlive(); }
-
-    long pid() { return process.pid(); }
-
-    void signal(String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, "" + pid()).start().waitFor();
-    }
-
     void end() {
         if (process == null) return;
         process.destroyForcibly();
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -20,6 +20,9 @@
     /** Start of a run: which request, when, and at which worker. */
     record Run(String id, long atMs, String worker, long afterEvent) {}
 
+    /** Time for a plain request and size of its answer. */
+    private static final long PLAIN_MS = 20;
+    private static final int PLAIN_BYTES = 800;
     final String id;
     private final String service;
     private final String zone;
@@ -42,29 +45,14 @@
     volatile int events = 5;
     volatile long eventMs = 10;
 
-    /** Number of events and time for each by item, if they differ. */
-    volatile java.util.function.ToIntFunction<String> eventsOf = id -> events;
-    volatile java.util.function.ToLongFunction<String> eventMsOf = id -> eventMs;
-
-    /** If true, the data of each event names the run that made it. */
-    volatile boolean namesRuns;
-
     /** Ids of items that can never be done; they are answered with 422. */
     final Set<String> impossible = ConcurrentHashMap.newKeySet();
 
     /** If true, an answer of 422 is sent a second time, late: where the next answer on its channel is due. */
     volatile boolean repeats422;
 
-    /** Size of the body of each run of a plain request, by its id and a number. */
-    final Map<String, Integer> bodyBytes = new ConcurrentHashMap<>();
-
-    /** If true, runs of plain requests are not recorded one by one. */
-    volatile boolean isQuiet;
-
-    /** Size of the answers to plain requests. */
-    volatile int plainBytes = 800;
-    volatile java.util.function.ToIntFunction<String> plainBytesOf = request -> plainBytes;
-    volatile long plainMs = 20;
+    /** Ids of the items whose text the worker has made to its end. */
+    final Set<String> finished = ConcurrentHashMap.newKeySet();
 
     Worker(String id, String service, String zone, String model, int slots, Record record) throws IOException {
         this.id = id;
@@ -124,11 +112,7 @@
     private boolean text(Http.Message request, String requestId, Socket socket, OutputStream out) throws IOException {
         String last = request.headers.get("last-event-id");
         long after = last == null ? 0 : Long.parseLong(last);
-        int number;
-        synchronized (runs) {
-            number = runs.size();
-            runs.add(new Run(requestId, Store.now(), id, after));
-        }
+        runs.add(new Run(requestId, Store.now(), id, after));
         record.line("worker " + id + " begins to run " + requestId + (after > 0 ? " after event " + after : "")
             + " tenant=" + request.headers.get("guavashore-tenant"));
         if (impossible.contains(requestId)) {
@@ -143,12 +127,13 @@
         out.write(Http.head(200, "Guavashore-Request-Id", requestId, "Guavashore-Server-Signature", "s." + requestId,
             "Guavashore-Weight-Versions", "" + version, "Content-Type", "text/event-stream", "Transfer-Encoding", "chunked").getBytes());
         out.flush();
-        for (long n = after + 1; n <= eventsOf.applyAsInt(requestId); n++) {
-            Store.pause(eventMsOf.applyAsLong(requestId));
-            chunk(out, "id: " + n + "\ndata: " + requestId + "/" + n + (namesRuns ? "/run " + number : "") + "\n\n");
+        for (long n = after + 1; n <= events; n++) {
+            Store.pause(eventMs);
+            chunk(out, "id: " + n + "\ndata: " + requestId + "/" + n + "\n\n");
         }
         out.write("0\r\n\r\n".getBytes());
         out.flush();
+        finished.add(requestId);
         return true;
     }
 
@@ -176,11 +161,10 @@
 
     private boolean plain(Http.Message request, String requestId, OutputStream out) throws IOException {
         runs.add(new Run(requestId, Store.now(), id, 0));
-        bodyBytes.put(requestId + "#" + runs.size(), request.body.length);
-        if (!isQuiet) record.line("worker " + id + " begins to run " + requestId + " " + request.method() + " " + request.uri()
+        record.line("worker " + id + " begins to run " + requestId + " " + request.method() + " " + request.uri()
             + " body_bytes=" + request.body.length + " tenant=" + request.headers.get("guavashore-tenant"));
-        Store.pause(plainMs);
-        byte[] body = new byte[plainBytesOf.applyAsInt(requestId)];
+        Store.pause(PLAIN_MS);
+        byte[] body = new byte[PLAIN_BYTES];
         java.util.Arrays.fill(body, (byte) 'm');
         out.write(Http.head(200, "Guavashore-Request-Id", requestId, "Guavashore-Server-Signature", "s." + requestId,
             "Content-Length", "" + body.length).getBytes());
