A late duplicate of a response is not taken for the next response

Cause: ItemCall handled a status other than 200 before it compared the id of the response with the item's.

Related paths, each shown by a test that failed before: - a late duplicate of a 500 counted as a failure of another item; - a failure without any request id ended or failed an item; - a second copy of the answer to an earlier run of the same item has the right id, so it was taken for the next run's: the connection had been kept. Orders now have a connection of their own. A duplicate of a report that is taken for a later report only delays a load: by reading. Ruled out by reading: relays between VMs (PeerRelay) compare the id before anything else and use new connections for all but safe requests; store calls and duties use other connections, to the platform.

Change: TargetConnectionPool.receiveHead compares the ids for all four kinds of call before anything is learned; the hook in HttpConnection is gone. ItemCall lets only a response that names the item count against it.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -67,7 +67,7 @@
     ): RunOutcome {
         val connection =
             try {
-                connections.take(engine)
+                connections.take(engine, requestId = item.spec.id.value)
             } catch (e: ExchangeFailure.NotConnected) {
                 directory.recordFailure(engine.id)
                 return RunOutcome.NotRun(e.message.orEmpty(), wasOffered = false)
@@ -90,14 +90,12 @@
         engine: TargetEntry,
         connection: HttpConnection,
     ): RunOutcome {
-        val head =
-            withTimeoutOrNull(FIRST_RESPONSE_TIMEOUT_MS) { connection.head() }
-                ?: return RunOutcome.Broken("no response head within $FIRST_RESPONSE_TIMEOUT_MS ms")
-        val metadata = protocol.metadata(head)
+        val response =
+            withTimeoutOrNull(FIRST_RESPONSE_TIMEOUT_MS) { connections.receiveHead(engine.id, connection) }
+                ?: return RunOutcome.Broken("no response to this request")
+        val (head, metadata) = response
         if (head.status != OK) return refusal(head, metadata, connection)
-        if (!metadata.isGenuine || metadata.requestId?.let { it != item.spec.id.value } == true) {
-            return RunOutcome.Broken("response to another request")
-        }
+        if (!metadata.isGenuine) return RunOutcome.Broken("response without a receipt")
         if (metadata.rate == RateStatement.Unlimited) onNoLimitNamed(engine.id, connection.sentAtNs)
         return readEvents(item, engine, connection, metadata.weightVersion)
     }
@@ -111,6 +109,8 @@
         return when {
             metadata.notRun || head.status == MISDIRECTED ->
                 RunOutcome.NotRun("status ${head.status}", wasOffered = true)
+            // Only a response that names the item may count against it.
+            metadata.requestId == null -> RunOutcome.Broken("status ${head.status} without a request id")
             head.status == IMPOSSIBLE -> RunOutcome.Impossible
             head.status == FAILED -> RunOutcome.Failed
             else -> RunOutcome.Broken("status ${head.status}")
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
@@ -56,7 +56,7 @@
     ): ScoreOutcome {
         val connection =
             try {
-                connections.take(target)
+                connections.take(target, requestId = scorer.id.value)
             } catch (e: ExchangeFailure.NotConnected) {
                 return ScoreOutcome.NotRun(e.message.orEmpty(), wasOffered = false)
             }
@@ -82,12 +82,10 @@
         target: TargetEntry,
         connection: HttpConnection,
     ): ScoreOutcome {
-        val head = connection.head()
-        val metadata = protocol.metadata(head)
+        val response =
+            connections.receiveHead(target.id, connection) ?: return ScoreOutcome.Broken("response to another call")
+        val (head, metadata) = response
         metadata.load?.let { onLoadReported(target, it) }
-        if (metadata.requestId?.let { it != scorer.id.value } == true) {
-            return ScoreOutcome.Broken("response to another call")
-        }
         if (metadata.notRun || head.status == MISDIRECTED) {
             connection.discardBody(MAX_ERROR_BYTES)
             return ScoreOutcome.NotRun("status ${head.status}", wasOffered = true)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -148,7 +148,7 @@
         val atMostOnce = call.route.kind != RouteKind.SAFE
         val connection =
             try {
-                connections.take(target, forceNew = atMostOnce || trial != null)
+                connections.take(target, call.metadata.requestId, forceNew = atMostOnce || trial != null)
             } catch (e: ExchangeFailure.NotConnected) {
                 log.info {
                     "target not reached: request=${call.metadata.requestId} target=${target.id} cause=${e.message}"
@@ -212,12 +212,10 @@
         target: TargetEntry,
         connection: HttpConnection,
     ): AttemptOutcome? {
-        val head = connection.head()
-        val metadata = targets.metadata(head)
+        val response =
+            connections.receiveHead(target.id, connection) ?: return rejectResponse(call, target, connection)
+        val (head, metadata) = response
         metadata.load?.let { loads.recordLoad(target.id, it, clock()) }
-        if (metadata.requestId != null && metadata.requestId != call.metadata.requestId) {
-            return rejectResponse(call, target, connection)
-        }
         if (metadata.notRun || head.status == MISDIRECTED) return handleNotRun(target, head, connection)
         recordUsageOnce(call)
         if (!metadata.isGenuine) return rejectResponse(call, target, connection)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
@@ -55,7 +55,12 @@
         call.triedPeers += peer.vm
         val connection =
             try {
-                connections.take(peer.vm, peer.endpoint, forceNew = call.route.kind != RouteKind.SAFE)
+                connections.take(
+                    peer.vm,
+                    peer.endpoint,
+                    call.metadata.requestId,
+                    forceNew = call.route.kind != RouteKind.SAFE,
+                )
             } catch (e: ExchangeFailure.NotConnected) {
                 log.info { "peer not reached: request=${call.metadata.requestId} peer=${peer.vm} cause=${e.message}" }
                 return Result(AttemptOutcome.NOT_SENT)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -56,6 +56,7 @@
 import io.guavashore.edge.suspects.SuspectTracking
 import io.guavashore.edge.suspects.TargetEvidence
 import io.guavashore.edge.targets.ConnectionPool
+import io.guavashore.edge.targets.ReceivedResponse
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
 import io.guavashore.edge.targets.TargetReachability
@@ -67,7 +68,6 @@
 import io.guavashore.net.HttpResponseMessage
 import io.guavashore.net.HttpServer
 import io.guavashore.net.ProcessLoop
-import io.guavashore.net.ResponseHead
 import io.guavashore.platform.CollectionName
 import io.guavashore.platform.EntryChange
 import kotlinx.coroutines.delay
@@ -127,7 +127,7 @@
             clock,
             store::endWatches,
         )
-    private val connections = TargetConnectionPool(dial, onResponseHead = ::onResponseHead)
+    private val connections = TargetConnectionPool(dial, ports.targets.metadata, ::onTargetResponse)
     private val loads = TargetLoads()
     private val rateLimits = TargetRateLimits(clock, directory::bornAtMs)
     private val permits =
@@ -345,12 +345,12 @@
     private fun registeredVms(): List<VmId> =
         catalog.entries(SharedCollections.VMS).mapNotNull { readVmRecord(it.content)?.vm }
 
-    private fun onResponseHead(
+    private fun onTargetResponse(
         target: TargetId,
-        head: ResponseHead,
+        response: ReceivedResponse,
     ) {
-        limits.onResponse(target, ports.targets.rateStatement(head))
-        if (!ports.targets.announcesLeaving(head)) return
+        limits.onResponse(target, response.metadata.rate)
+        if (!ports.targets.announcesLeaving(response.head)) return
         val bornAtMs = directory.bornAtMs(target)
         if (!directory.recordLeaving(target, bornAtMs)) return
         mesh.broadcast(PeerMessage.TargetLeaving(target, bornAtMs))
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
@@ -6,20 +6,19 @@
 import io.guavashore.api.Endpoint
 import io.guavashore.net.Dial
 import io.guavashore.net.HttpConnection
-import io.guavashore.net.ResponseHead
 
 /** Pool of idle connections by the server's key. Not thread-safe. */
 open class ConnectionPool<K>(
     private val dial: Dial,
     /** Connecting between zones takes a few milliseconds; a lost SYN packet is sent again only after 1 s. */
     private val connectTimeoutMs: Long = 400,
-    /** Called with the head of every response before the response is processed. */
-    private val onResponseHead: (K, ResponseHead) -> Unit = { _, _ -> },
 ) {
     private val idle = HashMap<K, ArrayDeque<HttpConnection>>()
 
     /**
-     * Returns a connection to the server [key] at [endpoint] that is ready for a request, preferring the one used last.
+     * Returns a connection to the server [key] at [endpoint] that is ready for the request [requestId], preferring the
+     * one used last. A connection whose last request had the same id is left out: a late duplicate of its response
+     * could not be told from the response to the new request.
      *
      * @param forceNew true to open a new connection: the server may close a pooled one just as a request arrives, and
      * it is then unknown whether that request ran
@@ -27,18 +26,25 @@
     suspend fun take(
         key: K,
         endpoint: Endpoint,
+        requestId: String?,
         forceNew: Boolean = false,
     ): HttpConnection {
+        val connection = (if (forceNew) null else takeIdle(key, requestId)) ?: dial(endpoint, connectTimeoutMs)
+        return connection.also { it.requestId = requestId }
+    }
+
+    private fun takeIdle(
+        key: K,
+        requestId: String?,
+    ): HttpConnection? {
+        val pooled = idle[key] ?: return null
         val now = System.nanoTime()
-        val pooled = idle[key]
-        while (!forceNew && !pooled.isNullOrEmpty()) {
-            val connection = pooled.removeLast()
-            if (connection.isReusable(now)) return connection
-            connection.close()
-        }
-        val connection = dial(endpoint, connectTimeoutMs)
-        connection.onHead = { onResponseHead(key, it) }
-        return connection
+        val (reusable, expired) = pooled.partition { it.isReusable(now) }
+        expired.forEach { it.close() }
+        pooled.removeAll(expired)
+        val taken = reusable.lastOrNull { requestId == null || it.requestId != requestId } ?: return null
+        pooled.remove(taken)
+        return taken
     }
 
     /** Returns [connection] to the pool if it can be reused, else closes it. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
@@ -34,17 +34,22 @@
     /**
      * Sends [order] if [mayOrder] is true just before sending. Returns the status of the response; null if there was
      * none, in which case the engine may still carry out the order.
+     *
+     * Responses to control calls state no request id, so a late duplicate of one could be taken for the response to the
+     * order. Each order is therefore sent on a new connection.
      */
     suspend fun order(
         engine: TargetEntry,
         order: WeightOrder,
         mayOrder: () -> Boolean,
-    ): Int? = exchange(engine, protocol.control.order(engine.id, order), ORDER_TIMEOUT_MS, mayOrder)?.status
+    ): Int? =
+        exchange(engine, protocol.control.order(engine.id, order), ORDER_TIMEOUT_MS, forceNew = true, mayOrder)?.status
 
     private suspend fun exchange(
         engine: TargetEntry,
         message: HttpRequestMessage,
         timeoutMs: Long,
+        forceNew: Boolean = false,
         maySend: () -> Boolean = { true },
     ): HttpResponseMessage? {
         val permit = awaitPermit(engine.id)
@@ -52,7 +57,7 @@
             log.info { "control call not sent, no room within the limit: engine=${engine.id} path=${message.path}" }
             return null
         }
-        val connection = connections.take(engine)
+        val connection = connections.take(engine, requestId = null, forceNew)
         try {
             if (!maySend() || !permit.isValid()) {
                 log.warn { "control call not sent, lease or permit expired: engine=${engine.id} path=${message.path}" }
@@ -65,22 +70,12 @@
         }
     }
 
-    /**
-     * Receives the next response on [connection]. Responses to control calls have no request id; one with an id is a
-     * late copy of a response to another request.
-     */
     private suspend fun receiveResponse(
         engine: TargetEntry,
         connection: HttpConnection,
     ): HttpResponseMessage? {
-        val head = connection.head()
-        val otherRequestId = protocol.metadata(head).requestId
-        if (otherRequestId == null) {
-            return HttpResponseMessage(head.status, head.headers, connection.readBody(MAX_REPORT_BYTES))
-        }
-        log.warn { "response to another request, connection closed: engine=${engine.id} request=$otherRequestId" }
-        connection.close()
-        return null
+        val head = connections.receiveHead(engine.id, connection)?.head ?: return null
+        return HttpResponseMessage(head.status, head.headers, connection.readBody(MAX_REPORT_BYTES))
     }
 
     private companion object {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnectionPool.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnectionPool.kt
@@ -1,22 +1,62 @@
 /*
  * Pool of connections to targets. A new connection briefly occupies a slot of the target.
+ *
+ * A faulty target may send a second copy of a response, late, where the response to the next request is due. Nothing is
+ * taken from a response before its id has been compared with that of the request.
  */
 package io.guavashore.edge.targets
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.TargetId
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.net.Dial
 import io.guavashore.net.HttpConnection
 import io.guavashore.net.ResponseHead
 
-/** Pool of idle connections by target. Not thread-safe. */
+private val log = KotlinLogging.logger {}
+
+/** Beginning of a target's response; the body is read from the connection. */
+data class ReceivedResponse(
+    val head: ResponseHead,
+    val metadata: ResponseMetadata,
+)
+
+/**
+ * Pool of idle connections by target. Not thread-safe.
+ *
+ * @param onResponse called with the beginning of each response, unless it belongs to another request
+ */
 class TargetConnectionPool(
     dial: Dial,
-    onResponseHead: (TargetId, ResponseHead) -> Unit = { _, _ -> },
-) : ConnectionPool<TargetId>(dial, onResponseHead = onResponseHead) {
-    /** Returns a connection to [target]; see [ConnectionPool.take]. */
+    private val metadataOf: (ResponseHead) -> ResponseMetadata,
+    private val onResponse: (TargetId, ReceivedResponse) -> Unit = { _, _ -> },
+) : ConnectionPool<TargetId>(dial) {
+    /** Returns a connection to [target] for the request [requestId]; see [ConnectionPool.take]. */
     suspend fun take(
         target: TargetEntry,
+        requestId: String?,
         forceNew: Boolean = false,
-    ): HttpConnection = take(target.id, target.endpoint, forceNew)
+    ): HttpConnection = take(target.id, target.endpoint, requestId, forceNew)
+
+    /**
+     * Waits for the response to the request for which [connection] was taken. Returns null, and closes the connection,
+     * if the response states that it belongs to another request.
+     */
+    suspend fun receiveHead(
+        target: TargetId,
+        connection: HttpConnection,
+    ): ReceivedResponse? {
+        val head = connection.head()
+        val metadata = metadataOf(head)
+        val statedId = metadata.requestId
+        if (statedId != null && statedId != connection.requestId) {
+            log.warn {
+                "response to another request, connection closed: target=$target status=${head.status} " +
+                    "request=${connection.requestId} response_to=$statedId"
+            }
+            connection.close()
+            return null
+        }
+        return ReceivedResponse(head, metadata).also { onResponse(target, it) }
+    }
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
@@ -86,8 +86,6 @@
     val itemRequest: (item: ItemSpec, host: String, context: ForwardingContext) -> HttpRequestMessage,
     val scoreRequest: (scorer: ScorerSpec, context: ForwardingContext) -> HttpRequestMessage,
     val metadata: (ResponseHead) -> ResponseMetadata,
-    /** Returns what the response says about the rate of requests that its target takes. */
-    val rateStatement: (ResponseHead) -> RateStatement,
     /** True if the response announces that its target is leaving and will take no more requests. */
     val announcesLeaving: (ResponseHead) -> Boolean,
     /** Returns the header fields of a response that are forwarded to the caller. */
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -66,8 +66,8 @@
     internal var messagesDecoded = 0L
         private set
 
-    /** Called with the head of each response before [head] returns it. */
-    var onHead: (ResponseHead) -> Unit = {}
+    /** Id of the request for which the connection was taken last; null if that request has none. */
+    var requestId: String? = null
 
     /** True from the sending of a request until its response has been read completely. */
     var busy = false
@@ -131,7 +131,7 @@
         }
         keepAlive = HttpUtil.isKeepAlive(next)
         keepAliveS = keepAliveSeconds(next.headers()["Keep-Alive"])
-        return ResponseHead(next.status().code(), Headers(next.headers().map { it.key to it.value })).also(onHead)
+        return ResponseHead(next.status().code(), Headers(next.headers().map { it.key to it.value }))
     }
 
     /** Returns the next bytes of the body, or null at the end of the complete body. */
--- a/guavashore-testing/src/main/kotlin/io/guavashore/testing/ScriptedServer.kt
+++ b/guavashore-testing/src/main/kotlin/io/guavashore/testing/ScriptedServer.kt
@@ -26,6 +26,9 @@
     /** Request lines of the received requests. */
     val requests = CopyOnWriteArrayList<String>()
 
+    /** For each received request, its number on its connection, counted from 0. */
+    val requestNumbers = CopyOnWriteArrayList<Int>()
+
     init {
         thread(isDaemon = true) { accept() }
     }
@@ -44,6 +47,7 @@
         var number = 0
         while (true) {
             requests += readRequest(input) ?: return
+            requestNumbers += number
             socket.getOutputStream().write(responseTo(number++).encodeToByteArray())
             socket.getOutputStream().flush()
             after(socket)
