Every model that an engine holds is served

Cause: assignModels gives each engine one model and balances the counts until they differ by one, and 1 and 0 count as balanced. WeightUpdater.serves then keeps the model off every engine. With fewer engines than models some are never served, and none of their versions is loaded.

Change: coverModels gives each model without an engine to one that holds it, beside its own model, in equal shares; such an engine loads the versions of all its models, one after the other. An engine is assigned only to models that its entry states. A model with too few engines takes one from any model with two more, not only from the largest, whose engines may all be loading. Each change is logged.

Related paths, by reading: the scaler orders three engines for each model within the bounds of the declaration, whatever serves them; loads count engines, which stay the same; an engine that leaves is no longer usable and gives its models away at once. Ruled out: that a further model halves the loads' limit. An engine still loads one version at a time (test of the load plan).

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightPlan.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightPlan.kt
@@ -6,6 +6,9 @@
  * available time. Therefore each model gets an equal share of the engines. A batch accepts the newest version and the
  * one before, so engines that are one version behind keep serving and load when they are idle. Only engines that no
  * future batch could use load immediately.
+ *
+ * With fewer engines than models, or with engines that hold only some of the models, engines serve further models
+ * beside the one that they are assigned to, so that no model that an engine holds is left without one.
  */
 package io.guavashore.edge.weights
 
@@ -30,6 +33,8 @@
  * @property model model that the engine is assigned to, or null if none
  * @property versions loaded version of each model
  * @property running requests that run on the engine
+ * @property held models that the engine holds; null if they are not known
+ * @property furtherModels models that the engine serves beside [model]
  */
 data class EngineSnapshot(
     val id: TargetId,
@@ -37,7 +42,14 @@
     val versions: Map<ModelId, Long>,
     val running: Int,
     val isLoading: Boolean,
-)
+    val held: Set<ModelId>? = null,
+    val furtherModels: Set<ModelId> = emptySet(),
+) {
+    /** All models that the engine serves; empty for an engine that serves any. */
+    val models: Set<ModelId> get() = setOfNotNull(model) + furtherModels
+
+    internal fun holds(model: ModelId) = held == null || model in held
+}
 
 /** Decision that [engine] loads [version] of [model]. */
 data class LoadDecision(
@@ -59,9 +71,9 @@
 )
 
 /**
- * Assigns [engines] to [models] in equal shares, keeping the assignments in [current] as far as these are balanced.
- * A model receives the unassigned engines with the smallest version lag first. Engines that change their model are the
- * ones with the fewest running requests, then with the smallest lag.
+ * Assigns [engines] to [models] that they hold in equal shares, keeping the assignments in [current] as far as these
+ * are balanced. A model receives the unassigned engines with the smallest version lag first. Engines that change their
+ * model are the ones with the fewest running requests, then with the smallest lag.
  */
 fun assignModels(
     engines: List<EngineSnapshot>,
@@ -71,11 +83,16 @@
     if (models.isEmpty()) return emptyMap()
     val known = models.associateBy { it.model }
     val assigned = HashMap<TargetId, ModelId>()
-    engines.forEach { engine -> current[engine.id]?.takeIf { it in known }?.let { assigned[engine.id] = it } }
+    engines.forEach { engine ->
+        current[engine.id]?.takeIf { it in known && engine.holds(it) }?.let { assigned[engine.id] = it }
+    }
     val unassigned = engines.filter { it.id !in assigned }.toMutableList()
-    while (unassigned.isNotEmpty()) {
-        val model = models.minWith(compareBy({ assigned.countOf(it.model) }, { it.model.value }))
-        val engine = unassigned.minWith(compareBy({ it.lag(model) }, { it.id }))
+    while (true) {
+        val model =
+            models
+                .filter { model -> unassigned.any { it.holds(model.model) } }
+                .minWithOrNull(compareBy({ assigned.countOf(it.model) }, { it.model.value })) ?: break
+        val engine = unassigned.filter { it.holds(model.model) }.minWith(compareBy({ it.lag(model) }, { it.id }))
         assigned[engine.id] = model.model
         unassigned -= engine
     }
@@ -83,22 +100,68 @@
     return assigned
 }
 
-/** Moves engines from the model with the most to the one with the fewest until their counts differ by at most one. */
+/** Moves engines from models with more to models with fewer until the counts differ by at most one, if possible. */
 private fun rebalance(
     engines: List<EngineSnapshot>,
     models: List<ModelVersions>,
     assigned: HashMap<TargetId, ModelId>,
 ) {
     while (true) {
-        val largest = models.maxWith(compareBy({ assigned.countOf(it.model) }, { it.model.value }))
-        val smallest = models.minWith(compareBy({ assigned.countOf(it.model) }, { it.model.value }))
-        if (assigned.countOf(largest.model) - assigned.countOf(smallest.model) <= 1) return
-        val moved =
+        val counts = models.associate { it.model to assigned.countOf(it.model) }
+        val (engine, model) =
+            models
+                .sortedWith(compareBy({ counts[it.model] }, { it.model.value }))
+                .firstNotNullOfOrNull { model ->
+                    engineToMove(engines, model, assigned, counts)?.let { it to model.model }
+                }
+                ?: return
+        assigned[engine] = model
+    }
+}
+
+/** Engine to assign to [model] instead of a model that has at least two engines more; null if there is none. */
+private fun engineToMove(
+    engines: List<EngineSnapshot>,
+    model: ModelVersions,
+    assigned: Map<TargetId, ModelId>,
+    counts: Map<ModelId, Int>,
+): TargetId? {
+    fun EngineSnapshot.count() = assigned[id]?.let(counts::get) ?: 0
+    return engines
+        .filter { it.count() > counts.getValue(model.model) + 1 && !it.isLoading && it.holds(model.model) }
+        .minWithOrNull(
+            compareBy({ -it.count() }, { assigned[it.id]?.value }, { it.running }, { it.lag(model) }, { it.id }),
+        )?.id
+}
+
+/**
+ * Models that engines serve beside the one that they are assigned to: each model to which none of [engines] is assigned
+ * goes to one that holds it, in equal shares. Engines keep their further models as far as the shares allow it.
+ */
+fun coverModels(
+    engines: List<EngineSnapshot>,
+    models: List<ModelVersions>,
+): Map<TargetId, Set<ModelId>> {
+    val uncovered = models.filter { model -> engines.none { it.model == model.model } }
+    if (uncovered.isEmpty() || engines.isEmpty()) return emptyMap()
+    val further = engines.associate { it.id to HashSet<ModelId>() }
+    val share = (models.size + engines.size - 1) / engines.size
+
+    fun EngineSnapshot.modelCount() = further.getValue(id).size + if (model == null) 0 else 1
+    val moved =
+        uncovered.filterNot { model ->
             engines
-                .filter { assigned[it.id] == largest.model && !it.isLoading }
-                .minWithOrNull(compareBy({ it.running }, { it.lag(smallest) }, { it.id })) ?: return
-        assigned[moved.id] = smallest.model
+                .firstOrNull { model.model in it.furtherModels && it.holds(model.model) && it.modelCount() < share }
+                ?.let { further.getValue(it.id).add(model.model) } ?: false
+        }
+    moved.forEach { model ->
+        engines
+            .filter { it.holds(model.model) }
+            .minWithOrNull(
+                compareBy({ it.modelCount() }, { it.isLoading }, { it.lag(model) }, { it.running }, { it.id }),
+            )?.let { further.getValue(it.id).add(model.model) }
     }
+    return further
 }
 
 /** Loads to start now, urgent ones first, up to the limit of concurrent loads. */
@@ -145,7 +208,7 @@
         .map { LoadDecision(it.id, model.model, model.newest) }
 }
 
-private fun List<EngineSnapshot>.of(model: ModelVersions) = filter { it.model == model.model }
+private fun List<EngineSnapshot>.of(model: ModelVersions) = filter { model.model in it.models }
 
 private fun EngineSnapshot.version(model: ModelVersions): Long = versions[model.model] ?: 0
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightUpdater.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightUpdater.kt
@@ -53,6 +53,7 @@
     private val isLimited: (TargetId) -> Boolean = { false },
 ) {
     private val assigned = HashMap<TargetId, ModelId>()
+    private val furtherModels = HashMap<TargetId, Set<ModelId>>()
     private val limits = HashMap<ServiceId, LoadConcurrencyLimit>()
     private val loading = HashSet<TargetId>()
     private val notBeforeMs = HashMap<TargetId, Long>()
@@ -67,7 +68,7 @@
     fun serves(
         engine: TargetId,
         model: ModelId,
-    ): Boolean = assigned[engine] == null || assigned[engine] == model
+    ): Boolean = assigned[engine] == null || assigned[engine] == model || model in furtherModels[engine].orEmpty()
 
     /** Weight loads that the engines of [service] can complete per second. */
     fun loadsPerSecond(service: ServiceId): Double = limits.getOrPut(service) { LoadConcurrencyLimit() }.perSecond
@@ -109,15 +110,31 @@
                     required = maxOf(newest - ALLOWED_LAG, requirements.minAcceptedVersion(model)),
                 )
             }
-        val snapshots = entries.map { snapshot(it) }
-        val assignment = assignModels(snapshots, versions, assigned)
-        entries.forEach { entry -> assignment[entry.id]?.let { assigned[entry.id] = it } }
         val now = clock()
-        val ready = snapshots.map { it.copy(model = assignment[it.id]) }.filter { now >= (notBeforeMs[it.id] ?: 0) }
+        val ready = assign(entries.map(::snapshot), versions).filter { now >= (notBeforeMs[it.id] ?: 0) }
         val config = WeightLoadConfig(maxConcurrentLoads = limits.getOrPut(service) { LoadConcurrencyLimit() }.current)
         planLoads(ready, versions, config).forEach { load(it, declaration) }
     }
 
+    /** Updates the models that [engines] serve; returns the updated snapshots. */
+    private fun assign(
+        engines: List<EngineSnapshot>,
+        versions: List<ModelVersions>,
+    ): List<EngineSnapshot> {
+        val assignment = assignModels(engines, versions, assigned)
+        val withModel = engines.map { it.copy(model = assignment[it.id]) }
+        val further = coverModels(withModel, versions)
+        val updated = withModel.map { it.copy(furtherModels = further[it.id].orEmpty()) }
+        updated.zip(engines).filter { (new, old) -> new.models != old.models }.forEach { (new, old) ->
+            log.info { "engine assigned: engine=${new.id} models=${new.models} before=${old.models}" }
+        }
+        updated.forEach {
+            if (it.model == null) assigned.remove(it.id) else assigned[it.id] = it.model
+            furtherModels[it.id] = it.furtherModels
+        }
+        return updated
+    }
+
     private fun snapshot(entry: TargetEntry) =
         EngineSnapshot(
             id = entry.id,
@@ -125,6 +142,8 @@
             versions = directory.versions(entry),
             running = runningOn(entry.id),
             isLoading = isLoading(entry.id),
+            held = entry.versions.keys.ifEmpty { null },
+            furtherModels = furtherModels[entry.id].orEmpty(),
         )
 
     /** Discards the report of an engine that has restarted: its count of accepted orders is outdated. */
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/weights/WeightPlanTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/weights/WeightPlanTest.kt
@@ -60,6 +60,134 @@
         }
     }
 
+    /** Guards against items that never run beside idle engines, since no engine serves their model. */
+    @Nested
+    inner class `fewer engines than models` {
+        private val sixModels = List(6) { ModelVersions(ModelId("m$it"), newest = 2, required = 1) }
+        private val allVersions = sixModels.associate { it.model to 1L }
+
+        private fun holding(
+            id: Int,
+            versions: Map<ModelId, Long> = allVersions,
+        ) = EngineSnapshot(TargetId("e$id"), null, versions, running = 0, isLoading = false, held = versions.keys)
+
+        /** [engines] with the models that they serve after [before]. */
+        private fun assign(
+            engines: List<EngineSnapshot>,
+            before: List<EngineSnapshot> = emptyList(),
+            models: List<ModelVersions> = sixModels,
+        ): List<EngineSnapshot> {
+            val known = before.associateBy { it.id }
+            val current = before.mapNotNull { engine -> engine.model?.let { engine.id to it } }.toMap()
+            val assigned = assignModels(engines, models, current)
+            val withModel =
+                engines.map {
+                    it.copy(model = assigned[it.id], furtherModels = known[it.id]?.furtherModels.orEmpty())
+                }
+            val further = coverModels(withModel, models)
+            return withModel.map { it.copy(furtherModels = further[it.id].orEmpty()) }
+        }
+
+        private fun served(engines: List<EngineSnapshot>) = engines.flatMapTo(HashSet()) { it.models }
+
+        @Test
+        fun `the model of an engine that is lost is served by another one`() {
+            val before = assign(List(6) { holding(it) })
+            val after = assign(before.drop(1), before)
+            assertEquals(allVersions.keys, served(after))
+            assertTrue(
+                before.drop(1).zip(after).all { (old, new) ->
+                    old.model == new.model
+                },
+                "an engine changed its model",
+            )
+        }
+
+        @Test
+        fun `models are spread evenly over two engines`() =
+            assertEquals(listOf(3, 3), assign(List(2) { holding(it) }).map { it.models.size })
+
+        @Test
+        fun `engines that come back take over models until each serves one`() {
+            var engines = assign(List(2) { holding(it) })
+            for (count in 3..6) {
+                engines = assign(engines + holding(count), engines)
+                val most = (sixModels.size + count - 1) / count
+                assertEquals(allVersions.keys, served(engines), "$count engines")
+                assertTrue(engines.all { it.models.size <= most }, "$count engines: ${engines.map { it.models }}")
+            }
+        }
+
+        @Test
+        fun `an engine keeps its further models while nothing else changes`() {
+            val before = assign(List(4) { holding(it) })
+            assertEquals(before, assign(before, before))
+        }
+
+        @Test
+        fun `an engine is not assigned to a model that it does not hold`() {
+            val all = holding(0)
+            val onlyFirst =
+                List(3) {
+                    holding(
+                        it + 1,
+                        versions =
+                            allVersions.filterKeys { model ->
+                                model.value == "m0"
+                            },
+                    )
+                }
+            val engines = assign(onlyFirst + all)
+            assertEquals(allVersions.keys, served(engines))
+            assertEquals(List(3) { setOf(ModelId("m0")) }, engines.take(3).map { it.models })
+        }
+
+        @Test
+        fun `an engine loads the versions of all models that it serves, one at a time`() {
+            val newer = sixModels.map { it.copy(newest = 4, required = 3) }
+            var engines = assign(List(2) { holding(it) }, models = newer)
+            repeat(3) {
+                val loads = planLoads(engines, newer, WeightLoadConfig(maxConcurrentLoads = 9))
+                assertEquals(2, loads.size)
+                engines =
+                    engines.map { engine ->
+                        val load = loads.single { it.engine == engine.id }
+                        engine.copy(versions = engine.versions + (load.model to load.version))
+                    }
+            }
+            assertEquals(emptyList(), planLoads(engines, newer))
+        }
+
+        /** Load pattern: engines are lost and come back at any time; some hold only a part of the models. */
+        @Test
+        fun `every model that an engine holds is served on random schedules`() {
+            repeat(SEEDS) { seed ->
+                val random = Random(seed)
+                val pool =
+                    List(8) { id ->
+                        holding(
+                            id,
+                            if (random.nextInt(3) >
+                                0
+                            ) {
+                                allVersions
+                            } else {
+                                allVersions.filter { random.nextBoolean() }
+                            },
+                        )
+                    }.filter { it.versions.isNotEmpty() }
+                var engines = emptyList<EngineSnapshot>()
+                repeat(20) {
+                    val listed = pool.filter { random.nextInt(3) > 0 }
+                    engines = assign(listed, engines)
+                    val held = listed.flatMapTo(HashSet()) { it.versions.keys }
+                    assertEquals(held, served(engines), "seed $seed")
+                    assertTrue(engines.all { engine -> engine.models.all { it in engine.versions } }, "seed $seed")
+                }
+            }
+        }
+    }
+
     @Nested
     inner class `load plan` {
         private val oneModel = versions(newest = 5).take(1)
