An empty list of organisations admits nobody

Cause: EdgeDeclaration.requiresKeys was true if any key was left, so an empty list counted as a missing one.

Change: the declaration says whether keys are required: if it names organisations at all, be it an empty list.

Related paths, by reading. Routes: an empty list leads to 404 for all, as declared. Limits and zone prices: an empty object means the defaults and no scaling, as a missing one. Models of an engine service: an empty list and a missing one both leave every engine open to every model, and nothing is loaded.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/declared/EdgeDeclaration.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/declared/EdgeDeclaration.kt
@@ -125,20 +125,22 @@
     val scaling: ScalingSpec? = null,
 )
 
-/** One version of the declaration. */
+/**
+ * One version of the declaration.
+ *
+ * @property requiresKeys true if callers need an API key on routes that are not public, even while no key is left
+ */
 class EdgeDeclaration(
     val version: Long,
     val routes: List<Route>,
     val services: Map<ServiceId, ServiceSpec>,
     val organisationByKey: Map<String, OrganisationId>,
+    val requiresKeys: Boolean,
     val limits: CallerLimits,
 ) {
     private val routesByHost: Map<String, List<Route>> =
         routes.groupBy { it.host }.mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
 
-    /** True if callers need an API key on routes that are not public. */
-    val requiresKeys: Boolean get() = organisationByKey.isNotEmpty()
-
     /** Returns the route on [host] with the longest path prefix that matches [path], or null. */
     fun route(
         host: String,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/SharedState.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/SharedState.kt
@@ -65,7 +65,8 @@
         declaration = incoming
         log.info {
             "declaration adopted: version=${incoming.version} revision=${change.entry.revision} " +
-                "routes=${incoming.routes.size} keys=${incoming.organisationByKey.size}"
+                "routes=${incoming.routes.size} keys=${incoming.organisationByKey.size} " +
+                "requires_keys=${incoming.requiresKeys}"
         }
     }
 
