Items run only at services of their route that have a weight

Cause: demandOf took the first backend of the route, whatever its weight, so weights never counted for items.

Change: an item runs at the service in whose share its id falls, so that it stays there after a run broke off or the coordinator changed; if that service has no targets, at another one with a weight. While no service has a weight the items wait: the route is still declared. An empty list of backends made items count as having no route, and they were given up.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
@@ -72,7 +72,15 @@
         declaration: EdgeDeclaration,
     ) {
         val now = clock()
-        val demands = waiting.filter { it.notBeforeMs <= now }.mapNotNull { demandOf(it, declaration) }
+        val services = servicesWithTargets()
+        val demands =
+            waiting.filter { it.notBeforeMs <= now }.mapNotNull {
+                demandOf(
+                    it,
+                    declaration,
+                    services::contains,
+                )
+            }
         if (demands.isEmpty()) return
         val engines = engineViews(declaration)
         itemsToRestart(demands, engines, now, config).forEach { item ->
@@ -91,6 +99,8 @@
         runs[item]?.job?.cancel()
     }
 
+    private fun servicesWithTargets(): Set<ServiceId> = directory.usable().mapTo(HashSet()) { it.service }
+
     private fun engineViews(declaration: EdgeDeclaration): List<EngineView> {
         val itemsByEngine = runs.values.groupBy({ it.engine }, { it.item })
         return directory.usable().mapNotNull { view(it, itemsByEngine[it.id].orEmpty(), declaration) }
@@ -202,9 +212,10 @@
         val movable = runs.values.filter { it.item.progress.size > 0 && clock() - it.startedMs >= MIN_RUN_MS }
         if (movable.isEmpty()) return
         val views = engineViews(declaration).associateBy { it.id }
+        val services = servicesWithTargets()
         movable.forEach { run ->
             val current = views[run.engine] ?: return@forEach
-            val demand = demandOf(run.item, declaration) ?: return@forEach
+            val demand = demandOf(run.item, declaration, services::contains) ?: return@forEach
             val better = betterEngine(demand, current, views.values.toList(), config) ?: return@forEach
             log.info {
                 "moving item to another engine: item=${run.item.spec.id} from=${run.engine} " +
@@ -231,20 +242,6 @@
     }
 }
 
-/** Placement demand of [item] under [declaration]; null if the item has no route. */
-internal fun demandOf(
-    item: ItemState,
-    declaration: EdgeDeclaration,
-): ItemDemand? {
-    val service =
-        declaration
-            .route(item.batch.record.host, item.spec.path)
-            ?.backends
-            ?.firstOrNull()
-            ?.service
-    return service?.let { ItemDemand(item, it, item.batch.record.model) }
-}
-
 /** Number of items of [batches] that wait for or run on engines of [service]. */
 internal fun openItemsOf(
     batches: Collection<BatchState>,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
@@ -61,10 +61,13 @@
         }
 }
 
-/** Item to be placed on an engine of [service]; [model] is null if any engine of the service will do. */
+/**
+ * Item to be placed on an engine of [service]; null if none may run it at present. [model] is null if any engine of the
+ * service will do.
+ */
 data class ItemDemand(
     val item: ItemState,
-    val service: ServiceId,
+    val service: ServiceId?,
     val model: ModelId?,
 )
 
