--- a/guavashore-api/src/main/kotlin/io/guavashore/api/Endpoint.kt
+++ b/guavashore-api/src/main/kotlin/io/guavashore/api/Endpoint.kt
@@ -23,14 +23,20 @@
 
     companion object {
         private const val MAX_PORT = 65_535
+        private const val MAX_OCTET = 255
         private val addressPattern = Regex("""(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+])\:(\d{1,5})""")
 
         /** Parses `IP:PORT`, or returns null if [text] is not in this format. */
         fun parseOrNull(text: String): Endpoint? {
             val match = addressPattern.matchEntire(text) ?: return null
             val port = match.groupValues[2].toInt()
-            if (port > MAX_PORT) return null
-            return Endpoint(host = match.groupValues[1], port = port)
+            val host = match.groupValues[1]
+            if (port > MAX_PORT ||
+                (!host.startsWith('[') && host.split('.').any { it.toInt() > MAX_OCTET })
+            ) {
+                return null
+            }
+            return Endpoint(host, port)
         }
     }
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/LaunchWithRestart.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/LaunchWithRestart.kt
@@ -12,7 +12,11 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Launches [task] in this scope. If it fails unexpectedly, the failure is logged and [task] restarts after a delay. */
+/**
+ * Launches [task] in this scope. If it fails unexpectedly, the failure is logged and [task] restarts after a delay.
+ * That includes errors of the JVM such as an exhausted stack: without its tasks, the process would stay ready and do
+ * nothing.
+ */
 internal fun CoroutineScope.launchWithRestart(
     name: String,
     task: suspend () -> Unit,
@@ -23,7 +27,7 @@
                 return@launch task()
             } catch (e: CancellationException) {
                 throw e
-            } catch (e: Exception) {
+            } catch (e: Throwable) {
                 log.error(e) { "task failed unexpectedly, restarting: work=$name in_ms=$RESTART_DELAY_MS" }
             }
             delay(RESTART_DELAY_MS)
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/process/LaunchWithRestartTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/process/LaunchWithRestartTest.kt
@@ -29,6 +29,20 @@
             assertTrue(others >= 19)
         }
 
+    /** Guards against processes that stay ready although their tasks have ended. */
+    @Test
+    fun `a task that exhausts the stack is restarted`() =
+        runTest {
+            var rounds = 0
+            backgroundScope.launchWithRestart("fails once") {
+                rounds++
+                if (rounds == 1) throw StackOverflowError()
+                delay(10_000)
+            }
+            advanceTimeBy(2_000)
+            assertEquals(2, rounds)
+        }
+
     @Test
     fun `a task that has completed is not restarted`() =
         runTest {
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/Frames.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/Frames.kt
@@ -3,6 +3,7 @@
  */
 package io.guavashore.net
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.Endpoint
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
@@ -14,6 +15,8 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder
 import io.netty.handler.codec.LengthFieldPrepender
 
+private val log = KotlinLogging.logger {}
+
 /** Handles one frame received on a [FrameConnection]. */
 typealias FrameHandler = (FrameConnection, ByteArray) -> Unit
 
@@ -51,6 +54,7 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        log.warn { "connection to a VM failed, closed: remote=${ctx.channel().remoteAddress()} cause=$cause" }
         ctx.close()
     }
 
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpExchange.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpExchange.kt
@@ -107,7 +107,7 @@
         } catch (e: CancellationException) {
             if (isCallerConnected) handlerFailed()
             throw e
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             log.error(e) { "handler failed unexpectedly: method=${request.method} uri=${request.uri} state=$state" }
         }
         if (state != State.DONE) handlerFailed()
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/HttpConnectionTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/HttpConnectionTest.kt
@@ -219,6 +219,13 @@
                 assertTrue(response.startsWith("HTTP/1.1 500"), response)
             }
 
+        @Test
+        fun `a request whose handler exhausts the stack is answered with status 500`() =
+            serve({ throw StackOverflowError() }) { port ->
+                val response = sendAndRead(port, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                assertTrue(response.startsWith("HTTP/1.1 500"), response)
+            }
+
         @Test
         fun `a response whose handler throws midway is not terminated as complete`() =
             serve({
