A stream goes only to the process that its target's entry describes

Reported: a VM was out of step for seconds (cut off, or standing still) while workers of a new software version joined; streams that were taken up there went on at a worker of another version (ORDER).

Seen here (OutdatedDirectoryTest; a VM that hears of no change among the workers, beside one that does): - workers of the new version under new ids: held. The VM out of step reads the recorded versions and the origin of the stream from the store after the request arrived, so the answer can't be older than the stream; it finds no worker of that version and refuses. Guard only. - a worker that starts again under its id with the new version: broke, in both forms. A stream of the old version went on at the restarted worker, and a stream that began there was recorded as one of the old version and went on at another worker.

Cause: a target's software version is read from its entry only. Until the new entry arrives the directory has the version of the process before, for as long as the VM is out of step. The id is the same, so the target's own check of it passes.

Change: an engine's report states the start of its process, as its entry does. Before a stream is resumed, the report is read over the connection that will carry it: the process can't change while that is open. A new stream needs no report while a connection over which the target was checked is open. A target whose process is not the listed one gets no streams until its entry changes. Targets that state no start, or limit their requests, are not checked: for them the fault remains.

Ruled out, by reading: a late answer of the store to a lookup (it was asked for after the stream began), lookups that share one listing (they find nothing and ask once more), relayed store calls (the peer asks anew), the declaration of a VM out of step. Suspected, not shown: the cleaner's removal of a version that the store carries out late, and an admission that is confirmed after its version has left the list; both need a version that comes back after ten minutes. Texts of items have the same fault on a coordinator out of step: open.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -16,6 +16,7 @@
 import io.guavashore.edge.suspects.SuspectTracking
 import io.guavashore.edge.suspects.Trial
 import io.guavashore.edge.targets.ForwardingContext
+import io.guavashore.edge.targets.ProcessCheck
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
 import io.guavashore.edge.targets.TargetProtocol
@@ -48,6 +49,7 @@
     val directory: TargetDirectory,
     val connections: TargetConnectionPool,
     val loads: TargetLoads,
+    val processCheck: ProcessCheck,
 )
 
 /** Forwards the requests that callers send to one VM. Not thread-safe. */
@@ -64,6 +66,7 @@
     private val directory = access.directory
     private val connections = access.connections
     private val loads = access.loads
+    private val processCheck = access.processCheck
     private val streams = StreamForwarder(targets, observer.recordOrigin, clock)
 
     /** Returns once the response to the caller has been sent or aborted. */
@@ -157,8 +160,9 @@
                 relay.onTargetUnreachable()
                 return AttemptOutcome.NOT_SENT
             }
+        val isListed = call.route.kind != RouteKind.STREAMING || isListedProcess(call, target, connection)
         val leftMs = call.deadlineMs - clock()
-        if (leftMs <= 0 || !choice.permit.isValid()) {
+        if (!isListed || leftMs <= 0 || !choice.permit.isValid()) {
             connections.release(target.id, connection)
             return AttemptOutcome.NOT_SENT
         }
@@ -193,6 +197,18 @@
         }
     }
 
+    private suspend fun isListedProcess(
+        call: ForwardedCall,
+        target: TargetEntry,
+        connection: HttpConnection,
+    ): Boolean =
+        try {
+            processCheck.isListedProcess(target, connection, resumesStream = call.lastEventId != null)
+        } catch (e: ExchangeFailure) {
+            log.info { "target not checked: request=${call.metadata.requestId} target=${target.id} cause=${e.message}" }
+            false
+        }
+
     private suspend fun timedOut(
         call: ForwardedCall,
         target: TargetEntry,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
@@ -107,8 +107,9 @@
         call: ForwardedCall,
         targets: List<TargetEntry>,
     ): List<TargetEntry> {
-        val origin = call.stream.origin ?: return admittedVersions.admit(targets)
-        return targets.filter(origin::includes)
+        val current = targets.filterNot(directory::isOutdated)
+        val origin = call.stream.origin ?: return admittedVersions.admit(current)
+        return current.filter(origin::includes)
     }
 
     /** Time for which [call] may wait so that its target still has time to respond. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -56,6 +56,8 @@
 import io.guavashore.edge.suspects.SuspectTracking
 import io.guavashore.edge.suspects.TargetEvidence
 import io.guavashore.edge.targets.ConnectionPool
+import io.guavashore.edge.targets.EngineControl
+import io.guavashore.edge.targets.ProcessCheck
 import io.guavashore.edge.targets.ReceivedResponse
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
@@ -216,11 +218,13 @@
                 clock = clock,
             ),
         )
+    private val processCheck =
+        ProcessCheck(directory, EngineControl(connections, ports.targets)::reportOver, permits::isLimited)
     private val forwarder =
         Forwarder(
             chooser = TargetChooser(settings.zone, directory, loads, permits, streams.lookup, streams.admitted, clock),
             relay = relay,
-            access = TargetAccess(directory, connections, loads),
+            access = TargetAccess(directory, connections, loads, processCheck),
             targets = ports.targets,
             errorResponder = ErrorResponder(ports.callers, metrics),
             suspects = suspects,
@@ -406,6 +410,7 @@
             streams.onTargetsChanged()
             suspects.runs.onTargetsChanged()
             rateLimits.retain(targets)
+            processCheck.retain(targets)
         }
         coordinatorTasks.onSharedStateChanged()
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
@@ -31,6 +31,19 @@
             REPORT_TIMEOUT_MS,
         )?.let { protocol.control.report(it.body) }
 
+    /** Like [report], over [connection], which was taken for another request. Sent without a permit. */
+    suspend fun reportOver(
+        engine: TargetEntry,
+        connection: HttpConnection,
+    ): EngineReport? {
+        val requestId = connection.requestId
+        connection.requestId = null
+        connection.send(protocol.control.reportRequest(engine.id))
+        val response = withTimeoutOrNull(REPORT_TIMEOUT_MS) { receiveResponse(engine, connection) }
+        connection.requestId = requestId
+        return response?.let { protocol.control.report(it.body) }
+    }
+
     /**
      * Sends [order] if [mayOrder] is true just before sending. Returns the status of the response; null if there was
      * none, in which case the engine may still carry out the order.
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
@@ -36,6 +36,9 @@
 
     /** Start times of the processes that announced in a response that they are leaving; null if the entry has none. */
     private val leaving = HashMap<TargetId, Long?>()
+
+    /** Start times of the listed processes of targets that have restarted since. */
+    private val outdated = HashMap<TargetId, Long?>()
     private val observedVersions = HashMap<TargetId, MutableMap<ModelId, Long>>()
 
     /** Applies a change of the directory; returns true if a target was added, updated or removed. */
@@ -50,6 +53,7 @@
         val known = entries[id]
         if (known?.bornAtMs != entry.bornAtMs) observedVersions.remove(id)
         if (id in leaving && leaving[id] != entry.bornAtMs) leaving.remove(id)
+        if (id in outdated && outdated[id] != entry.bornAtMs) outdated.remove(id)
         if (known == null || known.isLeaving != entry.isLeaving || known.software != entry.software) {
             log.info {
                 "target listed: target=$id service=${entry.service} at=${entry.endpoint} zone=${entry.zone} " +
@@ -90,6 +94,14 @@
         return true
     }
 
+    /** Records that the process that [entry] describes has ended, and another one runs under its id. */
+    fun recordOutdated(entry: TargetEntry) {
+        outdated[entry.id] = entry.bornAtMs
+    }
+
+    /** True if another process runs under the id of [entry] than the one that it describes. */
+    fun isOutdated(entry: TargetEntry): Boolean = entry.id in outdated && outdated[entry.id] == entry.bornAtMs
+
     fun all(): Collection<TargetEntry> = entries.values
 
     operator fun get(id: TargetId): TargetEntry? = entries[id]
@@ -149,6 +161,7 @@
         suspectUntilMs.remove(id)
         failures.remove(id)
         leaving.remove(id)
+        outdated.remove(id)
         observedVersions.remove(id)
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
@@ -73,11 +73,13 @@
  * State of an engine, as reported on request.
  *
  * @property ordersTaken number of orders that the engine has accepted since its start
+ * @property bornAtMs start of the engine's process, in Unix milliseconds; null if it is not stated
  */
 data class EngineReport(
     val versions: Map<ModelId, Long>,
     val isBusy: Boolean,
     val ordersTaken: Long,
+    val bornAtMs: Long? = null,
 )
 
 /** Encodes requests to targets and decodes their responses. */
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -69,6 +69,9 @@
     /** Id of the request for which the connection was taken last; null if that request has none. */
     var requestId: String? = null
 
+    /** Start of the server's process as it stated on this connection, in Unix milliseconds; null if it is not known. */
+    var serverBornAtMs: Long? = null
+
     /** True from the sending of a request until its response has been read completely. */
     var busy = false
         private set
