--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
@@ -73,14 +73,8 @@
     ) {
         val now = clock()
         val services = servicesWithTargets()
-        val demands =
-            waiting.filter { it.notBeforeMs <= now }.mapNotNull {
-                demandOf(
-                    it,
-                    declaration,
-                    services::contains,
-                )
-            }
+        val ready = waiting.filter { it.notBeforeMs <= now }
+        val demands = ready.mapNotNull { demandOf(it, declaration, services::contains) }
         if (demands.isEmpty()) return
         val engines = engineViews(declaration)
         itemsToRestart(demands, engines, now, config).forEach { item ->
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemRouting.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemRouting.kt
@@ -1,8 +1,9 @@
 /*
  * Selects the service that runs an item, among those to which the item's route sends requests.
  *
- * The choice depends only on the item and the declaration, so that an item whose run broke off stays with its service,
- * also after the coordinator has changed. Over all items, each service gets its share.
+ * While all services have targets, the choice depends only on the item and the declaration, so that an item whose run
+ * broke off stays with its service, also after the coordinator has changed. Over all items, each service gets its
+ * share.
  */
 package io.guavashore.edge.batches
 
@@ -31,13 +32,10 @@
     backends: List<WeightedService>,
 ): ServiceId? {
     if (backends.size <= 1) return backends.firstOrNull()?.service
-    var point =
-        Math.floorMod(
-            item.spec.id.value
-                .hashCode() * HASH_FACTOR,
-            backends.sumOf { it.weight },
-        )
-    return backends.first { backend -> (point < backend.weight).also { point -= backend.weight } }.service
+    val shareEnds = backends.runningFold(0) { end, backend -> end + backend.weight }.drop(1)
+    val hash = item.spec.id.hashCode() * HASH_FACTOR
+    val point = Math.floorMod(hash, shareEnds.last())
+    return backends[shareEnds.indexOfFirst { point < it }].service
 }
 
 /** Spreads consecutive ids; a prime close to 2^32 divided by the golden ratio. */
