Ids that are sent again on a connection, and responses without one, are logged

Cause: not known yet. Of the three hypotheses on the successes where the target had failed, the logs could not tell an id that goes twice over a connection from a response that states no id. The pool logs an id that comes again on a connection, receiveHead a response without an id, and the counter target.connections says why connections to targets are opened. EngineControl.reportOver need not set the id to null and back.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -76,7 +76,7 @@
             if (!permit.isValid()) return RunOutcome.NotRun("permit expired", wasOffered = false)
             val record = item.batch.record
             val context = ForwardingContext(engine.id, record.organisation, deadlineInMs, item.progress.lastEventId)
-            connection.send(protocol.itemRequest(item.spec, record.host, context))
+            connection.send(protocol.itemRequest(item.spec, record.host, context), item.spec.id.value)
             return read(item, engine, connection)
         } catch (e: ExchangeFailure) {
             return RunOutcome.Broken(e.message.orEmpty())
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
@@ -67,6 +67,7 @@
                     scorer,
                     ForwardingContext(target.id, organisation = null, deadlineInMs = timeoutMs),
                 ),
+                scorer.id.value,
             )
             return withTimeoutOrNull(timeoutMs) { read(scorer, target, connection) }
                 ?: ScoreOutcome.Broken("no complete response within $timeoutMs ms")
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -179,7 +179,7 @@
                     leftMs,
                     call.lastEventId,
                 )
-            connection.send(targets.forwardedRequest(call.exchange.request, context))
+            connection.send(targets.forwardedRequest(call.exchange.request, context), call.metadata.requestId)
             return withTimeoutOrNull(timeoutMs) { CompletedAttempt(handleResponse(call, target, connection)) }
                 .let { if (it == null) timedOut(call, target) else it.outcome }
                 .also { if (call.responseCompleted || it == AttemptOutcome.NOT_RUN) run.isHarmless = true }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
@@ -69,7 +69,8 @@
         log.info { "request relayed: request=${call.metadata.requestId} peer=${peer.vm} left_ms=$leftMs" }
         inFlight.merge(peer.vm, 1, Int::plus)
         try {
-            connection.send(callers.relayedRequest(call.exchange.request, leftMs, call.resumption()))
+            val request = callers.relayedRequest(call.exchange.request, leftMs, call.resumption())
+            connection.send(request, call.metadata.requestId)
             return withTimeoutOrNull(leftMs.coerceAtLeast(1)) { handleResponse(call, connection) }
                 ?: Result(interrupted(call))
         } catch (e: ExchangeFailure) {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -129,7 +129,13 @@
             clock,
             store::endWatches,
         )
-    private val connections = TargetConnectionPool(dial, ports.targets.metadata, ::onTargetResponse)
+    private val connections =
+        TargetConnectionPool(
+            dial,
+            ports.targets.metadata,
+            onOpen = { metrics.count("target.connections", "reason" to it.name.lowercase()) },
+            onResponse = ::onTargetResponse,
+        )
     private val loads = TargetLoads()
     private val rateLimits = TargetRateLimits(clock, directory::bornAtMs)
     private val permits =
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
@@ -3,15 +3,23 @@
  */
 package io.guavashore.edge.targets
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.Endpoint
 import io.guavashore.net.Dial
 import io.guavashore.net.HttpConnection
 
+private val log = KotlinLogging.logger {}
+
+/** Reason why a connection is opened. */
+enum class OpenReason { NONE_IDLE, REQUESTED }
+
 /** Pool of idle connections by the server's key. Not thread-safe. */
 open class ConnectionPool<K>(
     private val dial: Dial,
     /** Connecting between zones takes a few milliseconds; a lost SYN packet is sent again only after 1 s. */
     private val connectTimeoutMs: Long = 400,
+    /** Called before a connection is opened. */
+    private val onOpen: (OpenReason) -> Unit = {},
 ) {
     private val idle = HashMap<K, ArrayDeque<HttpConnection>>()
 
@@ -29,8 +37,10 @@
         requestId: String?,
         forceNew: Boolean = false,
     ): HttpConnection {
-        val connection = (if (forceNew) null else takeIdle(key, requestId)) ?: dial(endpoint, connectTimeoutMs)
-        return connection.also { it.requestId = requestId }
+        val pooled = if (forceNew) null else takeIdle(key, requestId)
+        if (pooled != null) return pooled
+        onOpen(if (forceNew) OpenReason.REQUESTED else OpenReason.NONE_IDLE)
+        return dial(endpoint, connectTimeoutMs)
     }
 
     private fun takeIdle(
@@ -44,6 +54,9 @@
         pooled.removeAll(expired)
         val taken = reusable.lastOrNull { requestId == null || it.requestId != requestId } ?: return null
         pooled.remove(taken)
+        if (requestId != null && taken.hasSent(requestId)) {
+            log.warn { "request id sent again on a connection: server=$key request=$requestId" }
+        }
         return taken
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
@@ -36,11 +36,8 @@
         engine: TargetEntry,
         connection: HttpConnection,
     ): EngineReport? {
-        val requestId = connection.requestId
-        connection.requestId = null
         connection.send(protocol.control.reportRequest(engine.id))
         val response = withTimeoutOrNull(REPORT_TIMEOUT_MS) { receiveResponse(engine, connection) }
-        connection.requestId = requestId
         return response?.let { protocol.control.report(it.body) }
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnectionPool.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnectionPool.kt
@@ -29,8 +29,9 @@
 class TargetConnectionPool(
     dial: Dial,
     private val metadataOf: (ResponseHead) -> ResponseMetadata,
+    onOpen: (OpenReason) -> Unit = {},
     private val onResponse: (TargetId, ReceivedResponse) -> Unit = { _, _ -> },
-) : ConnectionPool<TargetId>(dial) {
+) : ConnectionPool<TargetId>(dial, onOpen = onOpen) {
     /** Returns a connection to [target] for the request [requestId]; see [ConnectionPool.take]. */
     suspend fun take(
         target: TargetEntry,
@@ -39,7 +40,7 @@
     ): HttpConnection = take(target.id, target.endpoint, requestId, forceNew)
 
     /**
-     * Waits for the response to the request for which [connection] was taken. Returns null, and closes the connection,
+     * Waits for the response to the request that was sent last on [connection]. Returns null, and closes the connection,
      * if the response states that it belongs to another request.
      */
     suspend fun receiveHead(
@@ -57,6 +58,11 @@
             connection.close()
             return null
         }
+        if (statedId == null && connection.requestId != null) {
+            log.warn {
+                "response without a request id: target=$target status=${head.status} request=${connection.requestId}"
+            }
+        }
         return ReceivedResponse(head, metadata).also { onResponse(target, it) }
     }
 }
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -66,8 +66,11 @@
     internal var messagesDecoded = 0L
         private set
 
-    /** Id of the request for which the connection was taken last; null if that request has none. */
+    private val sentIds = SentRequestIds()
+
+    /** Id of the request that was sent last; null if it has none. */
     var requestId: String? = null
+        private set
 
     /** Start of the server's process as it stated on this connection, in Unix milliseconds; null if it is not known. */
     var serverBornAtMs: Long? = null
@@ -93,16 +96,28 @@
 
     /** True if another request may be sent on this connection at [nowNs], in monotonic nanoseconds. */
     fun isReusable(nowNs: Long): Boolean {
-        if (busy || !isOpen || !keepAlive) return false
+        if (busy || !isOpen || !keepAlive || sentIds.isFull) return false
         val idleMs = (nowNs - idleSinceNs) / NANOS_PER_MS
         val maxIdleMs = keepAliveS?.let { it * MS_PER_S - KEEP_ALIVE_MARGIN_MS } ?: MAX_IDLE_MS
         return idleMs < maxIdleMs
     }
 
-    /** Sends [request] with a `Content-Length`, since its body is complete. */
-    fun send(request: HttpRequestMessage) {
+    /** True if a request with the id [requestId] was sent on this connection. */
+    fun hasSent(requestId: String): Boolean = requestId in sentIds
+
+    /**
+     * Sends [request] with a `Content-Length`, since its body is complete.
+     *
+     * @param requestId id that the response must state; null if the request has none
+     */
+    fun send(
+        request: HttpRequestMessage,
+        requestId: String? = null,
+    ) {
         check(!busy) { "an exchange is in progress on this connection" }
         busy = true
+        this.requestId = requestId
+        requestId?.let(sentIds::add)
         sentAtNs = System.nanoTime()
         lastPartReceived = false
         lastPartConsumed = false
