Tests: a late second copy of a response is taken for that to a later request with the same id

What callers saw: a success although the target had answered this run of the request with a failure, and the reverse. Ruled out: ids sent twice directly after each other (a, a) hold on this code. Change: ScriptedServer can respond by the request's head with a state for each connection.

--- a/guavashore-testing/src/main/kotlin/io/guavashore/testing/ScriptedServer.kt
+++ b/guavashore-testing/src/main/kotlin/io/guavashore/testing/ScriptedServer.kt
@@ -11,14 +11,20 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 
-/**
- * Responds to request n of a connection, counted from 0, with the bytes that [responseTo] returns for n, then calls
- * [after] with the connection.
- */
-class ScriptedServer(
-    private val after: (Socket) -> Unit = {},
-    private val responseTo: (Int) -> String,
+/** Returns the bytes to send in response to a request, of which it gets the request line and the header lines. */
+typealias Responder = (head: List<String>) -> String
+
+/** Responds to each request with the bytes that the connection's responder returns, then calls [after]. */
+class ScriptedServer private constructor(
+    private val responderOfConnection: () -> Responder,
+    private val after: (Socket) -> Unit,
 ) : AutoCloseable {
+    /**
+     * Responds to request n of a connection, counted from 0, with the bytes that [responseTo] returns for n, then calls
+     * [after] with the connection.
+     */
+    constructor(after: (Socket) -> Unit = {}, responseTo: (Int) -> String) : this({ numbered(responseTo) }, after)
+
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
 
     val endpoint = Endpoint("127.0.0.1", listener.localPort)
@@ -44,33 +50,44 @@
 
     private fun serve(socket: Socket) {
         val input = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
+        val responder = responderOfConnection()
         var number = 0
         while (true) {
-            requests += readRequest(input) ?: return
-            requestNumbers += number
-            socket.getOutputStream().write(responseTo(number++).encodeToByteArray())
+            val head = readRequest(input) ?: return
+            requests += head.first()
+            requestNumbers += number++
+            socket.getOutputStream().write(responder(head).encodeToByteArray())
             socket.getOutputStream().flush()
             after(socket)
         }
     }
 
-    /** Reads a request with its body; returns the request line, or null if the connection was closed. */
-    private fun readRequest(input: BufferedReader): String? {
-        val requestLine = input.readLine() ?: return null
+    /** Reads a request with its body; returns the lines of its head, or null if the connection was closed. */
+    private fun readRequest(input: BufferedReader): List<String>? {
+        val head = ArrayList<String>()
         var bodyBytes = 0
         while (true) {
             val line = input.readLine() ?: return null
             if (line.isEmpty()) break
+            head += line
             if (line.startsWith(LENGTH_HEADER, ignoreCase = true)) {
                 bodyBytes = line.substring(LENGTH_HEADER.length).trim().toInt()
             }
         }
         repeat(bodyBytes) { input.read() }
-        return requestLine
+        return head
     }
 
-    private companion object {
-        const val BACKLOG = 50
-        const val LENGTH_HEADER = "content-length:"
+    companion object {
+        private const val BACKLOG = 50
+        private const val LENGTH_HEADER = "content-length:"
+
+        /** Server with a responder of its own for each connection. */
+        fun withResponders(responderOfConnection: () -> Responder) = ScriptedServer(responderOfConnection, after = {})
+
+        private fun numbered(responseTo: (Int) -> String): Responder {
+            var number = 0
+            return { responseTo(number++) }
+        }
     }
 }
