A request id goes over a connection to a target only once

Cause: a faulty target answers twice, the second time late, where the response to a later request is due. The id tells whose response it is, unless the same id goes over the connection again. The pool compared the last id only, and a call without an id (a report) made it forget that one; so a, b, a and a, report, a were not covered. Ruled out by reading: one VM does not send a call to the same target twice (TargetChooser leaves out those tried); requests that run at most once and streams get new connections. Change: a connection to a target or a VM is taken only for an id that it has not carried; HttpConnection rejects an id that it has. Why it works: a copy bears an id that the connection has carried before, so it never has the id of the request that is due.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
@@ -11,7 +11,7 @@
 private val log = KotlinLogging.logger {}
 
 /** Reason why a connection is opened. */
-enum class OpenReason { NONE_IDLE, REQUESTED }
+enum class OpenReason { NONE_IDLE, ALL_SENT_ID, REQUESTED }
 
 /** Pool of idle connections by the server's key. Not thread-safe. */
 open class ConnectionPool<K>(
@@ -25,7 +25,7 @@
 
     /**
      * Returns a connection to the server [key] at [endpoint] that is ready for the request [requestId], preferring the
-     * one used last. A connection whose last request had the same id is left out: a late duplicate of its response
+     * one used last. A connection that ever carried a request with this id is left out: a late duplicate of its response
      * could not be told from the response to the new request.
      *
      * @param forceNew true to open a new connection: the server may close a pooled one just as a request arrives, and
@@ -39,7 +39,7 @@
     ): HttpConnection {
         val pooled = if (forceNew) null else takeIdle(key, requestId)
         if (pooled != null) return pooled
-        onOpen(if (forceNew) OpenReason.REQUESTED else OpenReason.NONE_IDLE)
+        onOpen(openReason(key, requestId, forceNew))
         return dial(endpoint, connectTimeoutMs)
     }
 
@@ -52,14 +52,23 @@
         val (reusable, expired) = pooled.partition { it.isReusable(now) }
         expired.forEach { it.close() }
         pooled.removeAll(expired)
-        val taken = reusable.lastOrNull { requestId == null || it.requestId != requestId } ?: return null
+        val taken = reusable.lastOrNull { !it.hasSent(requestId) } ?: return null
         pooled.remove(taken)
-        if (requestId != null && taken.hasSent(requestId)) {
-            log.warn { "request id sent again on a connection: server=$key request=$requestId" }
-        }
         return taken
     }
 
+    private fun openReason(
+        key: K,
+        requestId: String?,
+        forceNew: Boolean,
+    ): OpenReason {
+        if (forceNew) return OpenReason.REQUESTED
+        val leftOut = idle[key].orEmpty().size
+        if (leftOut == 0) return OpenReason.NONE_IDLE
+        log.info { "connections left out, all have carried this id: server=$key request=$requestId count=$leftOut" }
+        return OpenReason.ALL_SENT_ID
+    }
+
     /** Returns [connection] to the pool if it can be reused, else closes it. */
     fun release(
         key: K,
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -102,19 +102,20 @@
         return idleMs < maxIdleMs
     }
 
-    /** True if a request with the id [requestId] was sent on this connection. */
-    fun hasSent(requestId: String): Boolean = requestId in sentIds
+    /** True if a request with the id [requestId] was sent on this connection; false if it has no id. */
+    fun hasSent(requestId: String?): Boolean = requestId != null && requestId in sentIds
 
     /**
      * Sends [request] with a `Content-Length`, since its body is complete.
      *
-     * @param requestId id that the response must state; null if the request has none
+     * @param requestId id that the response must state; null if the request has none. A connection carries no id twice.
      */
     fun send(
         request: HttpRequestMessage,
         requestId: String? = null,
     ) {
         check(!busy) { "an exchange is in progress on this connection" }
+        check(!hasSent(requestId)) { "the request id $requestId was already sent on this connection" }
         busy = true
         this.requestId = requestId
         requestId?.let(sentIds::add)
