A response without a request id is taken for no request's

What callers saw: the success of another request, if a target's late second copy leaves the id out. Cause: a response that states no id passed for that to the request that was due, and callers' requests without an id shared connections, on which no response can be told from another. Change: receiveHead wants the id of the request, or none if it has none (control calls); a caller's request without an id gets a connection of its own.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -149,9 +149,12 @@
     ): AttemptOutcome? {
         val target = choice.target
         val atMostOnce = call.route.kind != RouteKind.SAFE
+        val requestId = call.metadata.requestId
+        // Without an id, a late response to another such request could not be told from the response to this one.
+        val forceNew = atMostOnce || trial != null || requestId == null
         val connection =
             try {
-                connections.take(target, call.metadata.requestId, forceNew = atMostOnce || trial != null)
+                connections.take(target, requestId, forceNew)
             } catch (e: ExchangeFailure.NotConnected) {
                 log.info {
                     "target not reached: request=${call.metadata.requestId} target=${target.id} cause=${e.message}"
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnectionPool.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnectionPool.kt
@@ -2,7 +2,8 @@
  * Pool of connections to targets. A new connection briefly occupies a slot of the target.
  *
  * A faulty target may send a second copy of a response, late, where the response to the next request is due. Nothing is
- * taken from a response before its id has been compared with that of the request.
+ * taken from a response before its id has been compared with that of the request. One without an id could belong to any
+ * request.
  */
 package io.guavashore.edge.targets
 
@@ -24,7 +25,7 @@
 /**
  * Pool of idle connections by target. Not thread-safe.
  *
- * @param onResponse called with the beginning of each response, unless it belongs to another request
+ * @param onResponse called with the beginning of each response that states the id of its request
  */
 class TargetConnectionPool(
     dial: Dial,
@@ -41,7 +42,7 @@
 
     /**
      * Waits for the response to the request that was sent last on [connection]. Returns null, and closes the connection,
-     * if the response states that it belongs to another request.
+     * unless the response states the id of that request, or none if the request has none.
      */
     suspend fun receiveHead(
         target: TargetId,
@@ -50,7 +51,7 @@
         val head = connection.head()
         val metadata = metadataOf(head)
         val statedId = metadata.requestId
-        if (statedId != null && statedId != connection.requestId) {
+        if (statedId != connection.requestId) {
             log.warn {
                 "response to another request, connection closed: target=$target status=${head.status} " +
                     "request=${connection.requestId} response_to=$statedId"
@@ -58,11 +59,6 @@
             connection.close()
             return null
         }
-        if (statedId == null && connection.requestId != null) {
-            log.warn {
-                "response without a request id: target=$target status=${head.status} request=${connection.requestId}"
-            }
-        }
         return ReceivedResponse(head, metadata).also { onResponse(target, it) }
     }
 }
