Each attempt at a plain service has a connection of its own

What callers saw: nothing is recorded; by reading, a caller of a plain service could get the response to another caller's request, if the service does not echo the attempt id and sends a second copy of a response after the next request.

Cause: the JDK's client keeps connections, and a response without an attempt id was accepted on any of them.

Ruled out: requiring the id (services may leave it out, and error pages of frameworks do); a new connection by means of the JDK's client (by reading: its API has no such option, and a client for each call starts a thread); Ktor's client (passes on truncated responses, DECISIONS 8).

Change: HttpPlainClient uses guavashore's own HTTP client, opens a connection for each attempt and closes it. Bytes that arrive later find no reader. The attempt id is compared before anything else of the response is used, also before its length. Values that would end a line of the request are still rejected, now with a test, as the JDK's client did that before. The tests close their clients and load the classes of this one beforehand, as they do for the other.

--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/HttpPlainClient.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/HttpPlainClient.kt
@@ -1,85 +1,102 @@
 /*
- * Adapter to plain services over HTTP. It uses the JDK's client because the engines of Ktor's client, when a target
- * aborts a chunked response, sometimes return the received part as if it were complete.
+ * Adapter to plain services over HTTP. Plain services need not echo the attempt's id, so a late duplicate of a response
+ * could not be told from the response to the next request on its connection. Each attempt therefore has a connection of
+ * its own.
+ *
+ * It uses guavashore's own client because the engines of Ktor's client, when a target aborts a chunked response,
+ * sometimes return the received part as if it were complete, and the JDK's client always reuses connections.
  */
 package io.guavashore.calls
 
-import kotlinx.coroutines.future.await
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.net.Headers
+import io.guavashore.net.HttpConnection
+import io.guavashore.net.HttpDialer
+import io.guavashore.net.HttpRequestMessage
+import io.guavashore.net.ProcessLoop
+import io.guavashore.net.ResponseHead
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
-import java.io.IOException
+import java.io.ByteArrayOutputStream
 import java.net.URI
-import java.net.http.HttpClient
-import java.net.http.HttpRequest
-import java.net.http.HttpResponse
-import java.net.http.HttpResponse.BodySubscriber
-import java.nio.ByteBuffer
-import java.time.Duration
-import java.util.concurrent.CompletableFuture
-import java.util.concurrent.CompletionStage
-import java.util.concurrent.Flow
-import kotlin.jvm.optionals.getOrNull
 
-/** Client of plain services. It follows no redirects and never repeats a request that is not idempotent. */
+private val log = KotlinLogging.logger {}
+
+/** Client of plain services. It follows no redirects and never repeats a request. */
 class HttpPlainClient(
-    connectTimeoutMs: Long = 500,
-) {
-    private val client =
-        HttpClient
-            .newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .followRedirects(HttpClient.Redirect.NEVER)
-            .connectTimeout(Duration.ofMillis(connectTimeoutMs))
-            .build()
+    private val connectTimeoutMs: Long = 500,
+) : AutoCloseable {
+    private val loop = ProcessLoop { log.error(it) { "client of plain services failed unexpectedly" } }
+    private val onLoop = loop.scope.coroutineContext.minusKey(Job)
+    private val dialer = HttpDialer(loop)
 
     /** Runs one attempt, as [CallPlain] specifies. */
     suspend fun call(call: PlainCall): PlainResponse {
         var responseStarted = false
-        val handler = { info: HttpResponse.ResponseInfo ->
-            responseStarted = true
-            BoundedBodySubscriber(call.maxResponseBytes, contentLength(info))
-        }
         try {
-            return withTimeout(call.timeoutMs) { validated(call, client.sendAsync(request(call), handler).await()) }
+            return withTimeout(call.timeoutMs) {
+                withContext(onLoop) { exchange(call, onStarted = { responseStarted = true }) }
+            }
         } catch (e: Exception) {
             throw toTargetFailure(e, responseStarted)
         }
     }
 
-    private fun request(call: PlainCall): HttpRequest {
-        val body = call.request.body
-        val publisher =
-            if (body.isEmpty()) HttpRequest.BodyPublishers.noBody() else HttpRequest.BodyPublishers.ofByteArray(body)
-        return HttpRequest
-            .newBuilder(URI("http://${call.target.endpoint}${call.request.pathAndQuery}"))
-            .method(call.request.method, publisher)
-            .header(ATTEMPT_HEADER, call.attempt.value)
-            .apply { call.request.accept?.let { header("Accept", it) } }
-            .apply { call.request.contentType?.let { header("Content-Type", it) } }
-            .build()
-    }
+    override fun close() = loop.close()
 
-    private fun validated(
+    private suspend fun exchange(
         call: PlainCall,
-        response: HttpResponse<ByteArray>,
+        onStarted: () -> Unit,
     ): PlainResponse {
-        val echoedAttempt = response.headers().firstValue(ATTEMPT_HEADER).getOrNull()
+        val message = message(call)
+        val connection = dialer.connect(call.target.endpoint, connectTimeoutMs)
+        try {
+            connection.send(message)
+            val head = connection.head()
+            onStarted()
+            validate(call, head)
+            val body = connection.readBody(call, head)
+            return PlainResponse(head.status, head.headers["Content-Type"], body)
+        } finally {
+            connection.close()
+        }
+    }
+
+    private fun message(call: PlainCall): HttpRequestMessage {
+        val request = call.request
+        val uri = URI("http://${call.target.endpoint}${request.pathAndQuery}")
+        val fields =
+            listOfNotNull(
+                "Host" to call.target.endpoint.toString(),
+                ATTEMPT_HEADER to call.attempt.value,
+                request.accept?.let { "Accept" to it },
+                request.contentType?.let { "Content-Type" to it },
+            )
+        fields.forEach { (name, value) -> require(value.none(::isForbidden)) { "invalid value of the header $name" } }
+        val pathAndQuery = uri.rawPath + uri.rawQuery?.let { "?$it" }.orEmpty()
+        return HttpRequestMessage(request.method, pathAndQuery, Headers(fields), request.body)
+    }
+
+    private fun isForbidden(char: Char) = char.isISOControl() && char != '\t'
+
+    private fun validate(
+        call: PlainCall,
+        head: ResponseHead,
+    ) {
+        val echoedAttempt = head.headers[ATTEMPT_HEADER]
         if (echoedAttempt != null && echoedAttempt != call.attempt.value) {
             throw TargetFailure(
                 FailurePoint.WRONG_ANSWER,
                 "response belongs to attempt $echoedAttempt, expected ${call.attempt.value}",
             )
         }
-        if (!isSelfDelimited(call, response)) {
+        if (!isSelfDelimited(call, head)) {
             throw TargetFailure(
                 FailurePoint.WRONG_ANSWER,
                 "response has neither Content-Length nor Transfer-Encoding, so its end can't be verified",
             )
         }
-        return PlainResponse(
-            response.statusCode(),
-            response.headers().firstValue("Content-Type").getOrNull(),
-            response.body(),
-        )
     }
 
     /**
@@ -88,64 +105,35 @@
      */
     private fun isSelfDelimited(
         call: PlainCall,
-        response: HttpResponse<*>,
+        head: ResponseHead,
     ): Boolean {
-        val headers = response.headers()
-        val isDelimited =
-            headers.firstValue("Content-Length").isPresent || headers.firstValue("Transfer-Encoding").isPresent
-        return isDelimited || call.request.method == "HEAD" || response.statusCode() in statusesWithoutBody
+        val isDelimited = head.headers["Content-Length"] != null || head.headers["Transfer-Encoding"] != null
+        return isDelimited || call.request.method == "HEAD" || head.status in statusesWithoutBody
     }
 
-    private fun contentLength(info: HttpResponse.ResponseInfo): Long? =
-        info.headers().firstValueAsLong("Content-Length").let {
-            if (it.isPresent) it.asLong else null
+    /** Reads the body, and fails as soon as it is known to be longer than allowed. */
+    private suspend fun HttpConnection.readBody(
+        call: PlainCall,
+        head: ResponseHead,
+    ): ByteArray {
+        val hasBody = call.request.method != "HEAD" && head.status !in statusesWithoutBody
+        val statedBytes = head.headers["Content-Length"]?.toLongOrNull()?.takeIf { hasBody } ?: 0
+        val received = ByteArrayOutputStream()
+        var nextPart: ByteArray? = ByteArray(0)
+        while (nextPart != null) {
+            received.write(nextPart)
+            if (maxOf(statedBytes, received.size().toLong()) > call.maxResponseBytes) {
+                throw TargetFailure(
+                    FailurePoint.TOO_LONG,
+                    "response exceeds the maximum of ${call.maxResponseBytes} bytes",
+                )
+            }
+            nextPart = nextPart()
         }
+        return received.toByteArray()
+    }
 
     private companion object {
         val statusesWithoutBody = setOf(204, 304)
     }
 }
-
-/**
- * Collects a body of at most [maxBytes] and fails as soon as the body is known to be longer.
- *
- * @param contentLength size given in the header, or null if there is none
- */
-private class BoundedBodySubscriber(
-    private val maxBytes: Long,
-    private val contentLength: Long?,
-) : BodySubscriber<ByteArray> {
-    private val result = CompletableFuture<ByteArray>()
-    private val received = java.io.ByteArrayOutputStream()
-    private var subscription: Flow.Subscription? = null
-
-    override fun getBody(): CompletionStage<ByteArray> = result
-
-    override fun onSubscribe(subscription: Flow.Subscription) {
-        this.subscription = subscription
-        if (contentLength != null && contentLength > maxBytes) failTooLong() else subscription.request(Long.MAX_VALUE)
-    }
-
-    override fun onNext(buffers: List<ByteBuffer>) {
-        buffers.forEach { buffer ->
-            val bytes = ByteArray(buffer.remaining())
-            buffer.get(bytes)
-            received.writeBytes(bytes)
-        }
-        if (received.size() > maxBytes) failTooLong()
-    }
-
-    override fun onError(throwable: Throwable) {
-        result.completeExceptionally(IOException("response aborted", throwable))
-    }
-
-    override fun onComplete() {
-        result.complete(received.toByteArray())
-    }
-
-    private fun failTooLong() {
-        val failure = TargetFailure(FailurePoint.TOO_LONG, "response exceeds the maximum of $maxBytes bytes")
-        result.completeExceptionally(failure)
-        subscription?.cancel()
-    }
-}
--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/TargetFailure.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/TargetFailure.kt
@@ -3,11 +3,10 @@
  */
 package io.guavashore.calls
 
+import io.guavashore.net.ExchangeFailure
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
-import java.io.IOException
 import java.net.ConnectException
-import java.net.http.HttpConnectTimeoutException
 
 /**
  * Point at which an attempt failed.
@@ -58,8 +57,8 @@
         is TargetFailure -> thrown
         is TimeoutCancellationException -> TargetFailure(FailurePoint.TIMEOUT, "no complete response in time")
         is CancellationException -> thrown
-        is ConnectException, is HttpConnectTimeoutException -> TargetFailure(FailurePoint.CONNECT, "connection failed")
-        is IOException -> (thrown.cause as? TargetFailure) ?: connectionFailure(thrown, responseStarted)
+        is ConnectException, is ExchangeFailure.NotConnected ->
+            TargetFailure(FailurePoint.CONNECT, "connection failed")
         else -> connectionFailure(thrown, responseStarted)
     }
 
--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/LateDuplicatesTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/LateDuplicatesTest.kt
@@ -29,7 +29,10 @@
     private val responses = AtomicInteger()
 
     @AfterEach
-    fun close() = httpClient.close()
+    fun close() {
+        httpClient.close()
+        plain.close()
+    }
 
     /** Sends a response with a number of its own, after the previous one once more if the connection is used again. */
     private fun stutteringServer(response: (Int) -> String) =
--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
@@ -86,10 +86,13 @@
     private fun callPlain(
         maxResponseBytes: Long = 1_000,
         port: Int = server.localPort,
+        pathAndQuery: String = "/order?x=1",
+        contentType: String = "text/plain",
     ): PlainResponse =
         runBlocking {
-            val request = PlainRequest("POST", "/order?x=1", "text/plain", null, "body".toByteArray())
-            HttpPlainClient().call(PlainCall(target(port), AttemptId("a1"), request, maxResponseBytes, timeoutMs = 700))
+            val request = PlainRequest("POST", pathAndQuery, contentType, null, "body".toByteArray())
+            val call = PlainCall(target(port), AttemptId("a1"), request, maxResponseBytes, timeoutMs = 700)
+            HttpPlainClient().use { it.call(call) }
         }
 
     private fun generate(produced: List<Int> = emptyList()): List<TokenChunk> =
@@ -160,6 +163,14 @@
             assertEquals(FailurePoint.CONNECT, assertFailsWith<TargetFailure> { callPlain(port = unused) }.failurePoint)
         }
 
+        @Test
+        fun `a path or header that would end its line is not sent`() {
+            serve(head(0))
+            assertFailsWith<TargetFailure> { callPlain(pathAndQuery = "/order HTTP/1.1\r\nX: y\r\n\r\n") }
+            assertFailsWith<TargetFailure> { callPlain(contentType = "text/plain\r\nX: y") }
+            assertEquals(0, connections.get())
+        }
+
         @Test
         fun `a request to a plain service has only the specified headers`() {
             serve(head(0))
@@ -229,6 +240,10 @@
             runBlocking {
                 HttpClient(CIO).use { client -> runCatching { client.get("http://127.0.0.1:1/") } }
             }
+            TargetClientTest().run {
+                runCatching { callPlain(port = 1) }
+                close()
+            }
         }
 
         /** A closing connection races with the reads of its data, so each case is repeated. */
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
@@ -60,6 +60,7 @@
                 resources.selector,
             )
         val admissionController = AdmissionController(state)
+        val plainClient = HttpPlainClient()
         val services =
             EntryServices(
                 admissionController = admissionController,
@@ -68,7 +69,7 @@
                 clock = clock,
                 wallClock = wallClock,
                 ledger = ledger,
-                callTarget = HttpPlainClient()::call,
+                callTarget = plainClient::call,
                 newAttemptId = ::newAttemptId,
                 idempotencyClaims = IdempotencyClaims(stewardClient::exchange, ::newAttemptId),
                 reportSoon = stewardClient::reportSoon,
@@ -94,6 +95,7 @@
         drainCalls(frontend, registry)
         stewardClient.reportOnce()
         frontend.stop()
+        plainClient.close()
         operationsServer.close()
         log.info { "entry stopped" }
     }
