A response without an id is accepted on a connection that has carried nothing before

A target that refuses a request without effect and leaves the id out counted as uncertain, so an unsafe request would not have been tried elsewhere (by reading). Cause: the rule was stricter than its reason. On a connection that has carried no other request, no other response can arrive. And the id that was expected was not always the one that was sent. Change: receiveHead accepts a response without an id on the first exchange of a connection; only one that names the item still counts against an item. SentRequestIds compares without boxing. The new tests were not run without the change. Conclusion: copies are rejected wherever one can arrive, and nowhere else.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -109,6 +109,8 @@
         return when {
             metadata.notRun || head.status == MISDIRECTED ->
                 RunOutcome.NotRun("status ${head.status}", wasOffered = true)
+            // Only a response that names the item may count against it.
+            metadata.requestId == null -> RunOutcome.Broken("status ${head.status} without a request id")
             head.status == IMPOSSIBLE -> RunOutcome.Impossible
             head.status == FAILED -> RunOutcome.Failed
             else -> RunOutcome.Broken("status ${head.status}")
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnectionPool.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnectionPool.kt
@@ -3,7 +3,7 @@
  *
  * A faulty target may send a second copy of a response, late, where the response to the next request is due. Nothing is
  * taken from a response before its id has been compared with that of the request. One without an id could belong to any
- * request.
+ * request that the connection has carried.
  */
 package io.guavashore.edge.targets
 
@@ -25,7 +25,7 @@
 /**
  * Pool of idle connections by target. Not thread-safe.
  *
- * @param onResponse called with the beginning of each response that states the id of its request
+ * @param onResponse called with the beginning of each response, unless it may belong to another request
  */
 class TargetConnectionPool(
     dial: Dial,
@@ -42,7 +42,8 @@
 
     /**
      * Waits for the response to the request that was sent last on [connection]. Returns null, and closes the connection,
-     * unless the response states the id of that request, or none if the request has none.
+     * if the response may belong to another one: if it states another id, or none on a connection that has carried other
+     * requests, unless the request has none either.
      */
     suspend fun receiveHead(
         target: TargetId,
@@ -51,7 +52,8 @@
         val head = connection.head()
         val metadata = metadataOf(head)
         val statedId = metadata.requestId
-        if (statedId != connection.requestId) {
+        val isOnlyOne = statedId == null && connection.isFirstExchange
+        if (statedId != connection.requestId && !isOnlyOne) {
             log.warn {
                 "response to another request, connection closed: target=$target status=${head.status} " +
                     "request=${connection.requestId} response_to=$statedId"
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/targets/ConnectionPoolTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/targets/ConnectionPoolTest.kt
@@ -5,11 +5,13 @@
 import io.guavashore.net.HttpDialer
 import io.guavashore.net.HttpRequestMessage
 import io.guavashore.net.ProcessLoop
+import io.guavashore.testing.Responder
 import io.guavashore.testing.ScriptedServer
 import kotlinx.coroutines.async
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -17,7 +19,8 @@
 
 internal class ConnectionPoolTest {
     private val loop = ProcessLoop { it.printStackTrace() }
-    private val server = ScriptedServer { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }
+    private val idsByConnection = CopyOnWriteArrayList<CopyOnWriteArrayList<String>>()
+    private val server = ScriptedServer.withResponders(::responder)
     private val opened = ArrayList<OpenReason>()
     private val pool = ConnectionPool<String>(HttpDialer(loop)::connect, onOpen = { opened += it })
     private val request = HttpRequestMessage("GET", "/p", Headers.of("Host" to "h"))
@@ -28,8 +31,17 @@
         loop.close()
     }
 
+    private fun responder(): Responder {
+        val ids = CopyOnWriteArrayList<String>()
+        idsByConnection += ids
+        return { head ->
+            head.filter { it.startsWith(ID_HEADER) }.forEach { ids += it }
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        }
+    }
+
     private suspend fun HttpConnection.exchange(id: String?) {
-        send(request, id)
+        send(HttpRequestMessage("GET", "/p", Headers(listOfNotNull("Host" to "h", id?.let { ID_HEADER to it }))), id)
         readResponse(maxBytes = 100)
     }
 
@@ -62,6 +74,7 @@
             val ids = List(1_000) { if (random.nextInt(5) == 0) null else "id-${random.nextInt(20)}" }
             exchange(*ids.toTypedArray())
             assertEquals(ids.size, server.requests.size)
+            idsByConnection.forEach { assertEquals(it.distinct(), it.toList()) }
         }
 
         @Test
@@ -99,6 +112,8 @@
     }
 
     private companion object {
+        const val ID_HEADER = "X-Id"
+
         /** Number of ids that a connection keeps. */
         const val IDS_KEPT = 512
     }
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -75,6 +75,10 @@
     /** Start of the server's process as it stated on this connection, in Unix milliseconds; null if it is not known. */
     var serverBornAtMs: Long? = null
 
+    /** True while no request before the last one was sent, so that no response to another request can arrive. */
+    var isFirstExchange = true
+        private set
+
     /** True from the sending of a request until its response has been read completely. */
     var busy = false
         private set
@@ -116,9 +120,10 @@
     ) {
         check(!busy) { "an exchange is in progress on this connection" }
         check(!hasSent(requestId)) { "the request id $requestId was already sent on this connection" }
-        busy = true
-        this.requestId = requestId
         requestId?.let(sentIds::add)
+        this.requestId = requestId
+        isFirstExchange = sentAtNs == 0L
+        busy = true
         sentAtNs = System.nanoTime()
         lastPartReceived = false
         lastPartConsumed = false
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/SentRequestIds.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/SentRequestIds.kt
@@ -16,7 +16,8 @@
 
     operator fun contains(requestId: String): Boolean {
         val hash = requestId.hashCode()
-        return (0 until count).any { hashes[it] == hash }
+        for (index in 0 until count) if (hashes[index] == hash) return true
+        return false
     }
 
     fun add(requestId: String) {
