--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -148,13 +148,9 @@
         trial: Trial?,
     ): AttemptOutcome? {
         val target = choice.target
-        val atMostOnce = call.route.kind != RouteKind.SAFE
-        val requestId = call.metadata.requestId
-        // Without an id, a late response to another such request could not be told from the response to this one.
-        val forceNew = atMostOnce || trial != null || requestId == null
         val connection =
             try {
-                connections.take(target, requestId, forceNew)
+                connections.take(target, call.metadata.requestId, forceNew = trial != null || needsNewConnection(call))
             } catch (e: ExchangeFailure.NotConnected) {
                 log.info {
                     "target not reached: request=${call.metadata.requestId} target=${target.id} cause=${e.message}"
@@ -200,6 +196,13 @@
         }
     }
 
+    /**
+     * True for a request that may run once at most, and for one without an id: a late response to another such request
+     * could not be told from the response to it.
+     */
+    private fun needsNewConnection(call: ForwardedCall) =
+        call.route.kind != RouteKind.SAFE || call.metadata.requestId == null
+
     private suspend fun isListedProcess(
         call: ForwardedCall,
         target: TargetEntry,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
@@ -25,8 +25,8 @@
 
     /**
      * Returns a connection to the server [key] at [endpoint] that is ready for the request [requestId], preferring the
-     * one used last. A connection that ever carried a request with this id is left out: a late duplicate of its response
-     * could not be told from the response to the new request.
+     * one used last. A connection that ever carried a request with this id is left out: a late duplicate of its
+     * response could not be told from the response to the new request.
      *
      * @param forceNew true to open a new connection: the server may close a pooled one just as a request arrives, and
      * it is then unknown whether that request ran
@@ -52,7 +52,7 @@
         val (reusable, expired) = pooled.partition { it.isReusable(now) }
         expired.forEach { it.close() }
         pooled.removeAll(expired)
-        val taken = reusable.lastOrNull { !it.hasSent(requestId) } ?: return null
+        val taken = reusable.lastOrNull { requestId !in it.sentIds } ?: return null
         pooled.remove(taken)
         return taken
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnectionPool.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnectionPool.kt
@@ -41,9 +41,9 @@
     ): HttpConnection = take(target.id, target.endpoint, requestId, forceNew)
 
     /**
-     * Waits for the response to the request that was sent last on [connection]. Returns null, and closes the connection,
-     * if the response may belong to another one: if it states another id, or none on a connection that has carried other
-     * requests, unless the request has none either.
+     * Waits for the response to the request that was sent last on [connection]. Returns null, and closes the
+     * connection, if the response may belong to another one: if it states another id, or none on a connection that has
+     * carried other requests, unless the request has none either.
      */
     suspend fun receiveHead(
         target: TargetId,
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -66,7 +66,8 @@
     internal var messagesDecoded = 0L
         private set
 
-    private val sentIds = SentRequestIds()
+    /** Ids of the requests that were sent. */
+    val sentIds = SentRequestIds()
 
     /** Id of the request that was sent last; null if it has none. */
     var requestId: String? = null
@@ -100,15 +101,12 @@
 
     /** True if another request may be sent on this connection at [nowNs], in monotonic nanoseconds. */
     fun isReusable(nowNs: Long): Boolean {
-        if (busy || !isOpen || !keepAlive || sentIds.isFull) return false
+        if (busy || !isOpen || !keepAlive) return false
         val idleMs = (nowNs - idleSinceNs) / NANOS_PER_MS
         val maxIdleMs = keepAliveS?.let { it * MS_PER_S - KEEP_ALIVE_MARGIN_MS } ?: MAX_IDLE_MS
-        return idleMs < maxIdleMs
+        return idleMs < maxIdleMs && !sentIds.isFull
     }
 
-    /** True if a request with the id [requestId] was sent on this connection; false if it has no id. */
-    fun hasSent(requestId: String?): Boolean = requestId != null && requestId in sentIds
-
     /**
      * Sends [request] with a `Content-Length`, since its body is complete.
      *
@@ -119,7 +117,7 @@
         requestId: String? = null,
     ) {
         check(!busy) { "an exchange is in progress on this connection" }
-        check(!hasSent(requestId)) { "the request id $requestId was already sent on this connection" }
+        check(requestId !in sentIds) { "the request id $requestId was already sent on this connection" }
         requestId?.let(sentIds::add)
         this.requestId = requestId
         isFirstExchange = sentAtNs == 0L
