--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/targets/ConnectionPoolTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/targets/ConnectionPoolTest.kt
@@ -35,8 +35,8 @@
         val ids = CopyOnWriteArrayList<String>()
         idsByConnection += ids
         return { head ->
-            head.filter { it.startsWith(ID_HEADER) }.forEach { ids += it }
-            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+            head[ID_HEADER]?.let { ids += it }
+            listOf("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         }
     }
 
--- a/guavashore-testing/src/main/kotlin/io/guavashore/testing/ScriptedServer.kt
+++ b/guavashore-testing/src/main/kotlin/io/guavashore/testing/ScriptedServer.kt
@@ -11,8 +11,8 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 
-/** Returns the bytes to send in response to a request, of which it gets the request line and the header lines. */
-typealias Responder = (head: List<String>) -> String
+/** Returns the bytes to send in response to a request, each element by a write of its own. */
+typealias Responder = (RequestHead) -> List<String>
 
 /** Responds to each request with the bytes that the connection's responder returns, then calls [after]. */
 class ScriptedServer private constructor(
@@ -44,50 +44,46 @@
     private fun accept() {
         while (!listener.isClosed) {
             val socket = runCatching { listener.accept() }.getOrNull() ?: return
-            thread(isDaemon = true) { runCatching { serve(socket) } }
+            thread(isDaemon = true) { runCatching { socket.use(::serve) } }
         }
     }
 
     private fun serve(socket: Socket) {
+        socket.tcpNoDelay = true
         val input = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
         val responder = responderOfConnection()
         var number = 0
         while (true) {
             val head = readRequest(input) ?: return
-            requests += head.first()
+            requests += head.requestLine
             requestNumbers += number++
-            socket.getOutputStream().write(responder(head).encodeToByteArray())
-            socket.getOutputStream().flush()
+            responder(head).forEach { socket.getOutputStream().write(it.encodeToByteArray()) }
             after(socket)
         }
     }
 
-    /** Reads a request with its body; returns the lines of its head, or null if the connection was closed. */
-    private fun readRequest(input: BufferedReader): List<String>? {
-        val head = ArrayList<String>()
-        var bodyBytes = 0
+    /** Reads a request with its body; returns its head, or null if the connection was closed. */
+    private fun readRequest(input: BufferedReader): RequestHead? {
+        val lines = ArrayList<String>()
         while (true) {
             val line = input.readLine() ?: return null
             if (line.isEmpty()) break
-            head += line
-            if (line.startsWith(LENGTH_HEADER, ignoreCase = true)) {
-                bodyBytes = line.substring(LENGTH_HEADER.length).trim().toInt()
-            }
+            lines += line
         }
-        repeat(bodyBytes) { input.read() }
+        val head = RequestHead(requestLine = lines.first(), fieldLines = lines.drop(1))
+        repeat(head["Content-Length"]?.toInt() ?: 0) { input.read() }
         return head
     }
 
     companion object {
         private const val BACKLOG = 50
-        private const val LENGTH_HEADER = "content-length:"
 
         /** Server with a responder of its own for each connection. */
         fun withResponders(responderOfConnection: () -> Responder) = ScriptedServer(responderOfConnection, after = {})
 
         private fun numbered(responseTo: (Int) -> String): Responder {
             var number = 0
-            return { responseTo(number++) }
+            return { listOf(responseTo(number++)) }
         }
     }
 }
