--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/CallRunnerTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/CallRunnerTest.kt
@@ -7,13 +7,9 @@
 import io.guavashore.api.Endpoint
 import io.guavashore.api.GenerateRequest
 import io.guavashore.api.OrganisationId
-import io.guavashore.api.PoolId
 import io.guavashore.api.RefusalKind
 import io.guavashore.api.Target
 import io.guavashore.api.TargetId
-import io.guavashore.api.TargetKind
-import io.guavashore.api.TargetStage
-import io.guavashore.api.TeamId
 import io.guavashore.api.TokenSpan
 import io.guavashore.api.WeightVersion
 import io.guavashore.api.ZoneId
@@ -42,16 +38,7 @@
     private fun target(
         id: String,
         slots: Int = 4,
-    ) = Target(
-        TargetId(id),
-        TeamId("t"),
-        PoolId("p"),
-        TargetKind.PLAIN,
-        zone,
-        Endpoint("127.0.0.1", 1),
-        slots,
-        TargetStage.SERVING,
-    )
+    ) = targetAt(Endpoint("127.0.0.1", 1), id, zone, slots)
 
     private fun TestScope.dispatcher(vararg targets: Target) =
         SlotDispatcher(zone, clock = { currentTime }).apply { update(targets.map { TargetShare(it, it.slots) }) }
--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/LateDuplicatesTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/LateDuplicatesTest.kt
@@ -2,13 +2,6 @@
 
 import io.guavashore.api.AttemptId
 import io.guavashore.api.GenerateRequest
-import io.guavashore.api.PoolId
-import io.guavashore.api.Target
-import io.guavashore.api.TargetId
-import io.guavashore.api.TargetKind
-import io.guavashore.api.TargetStage
-import io.guavashore.api.TeamId
-import io.guavashore.api.ZoneId
 import io.guavashore.api.systemMonotonicClock
 import io.guavashore.testing.ScriptedServer
 import io.ktor.client.HttpClient
@@ -41,22 +34,10 @@
             if (requestNumber == 0) response(current) else response(current - 1) + response(current)
         }
 
-    private fun target(server: ScriptedServer) =
-        Target(
-            id = TargetId("t"),
-            team = TeamId("t"),
-            pool = PoolId("p"),
-            kind = TargetKind.PLAIN,
-            zone = ZoneId("a"),
-            endpoint = server.endpoint,
-            slots = 1,
-            stage = TargetStage.SERVING,
-        )
-
     private fun ScriptedServer.call(attempt: String): String =
         runBlocking {
             val request = PlainRequest("POST", "/order", "text/plain", null, attempt.toByteArray())
-            val call = PlainCall(target(this@call), AttemptId(attempt), request, MAX_RESPONSE_BYTES, TIMEOUT_MS)
+            val call = PlainCall(targetAt(endpoint), AttemptId(attempt), request, MAX_RESPONSE_BYTES, TIMEOUT_MS)
             plain.call(call).body.decodeToString()
         }
 
@@ -64,7 +45,7 @@
         runBlocking {
             val request = GenerateRequest(listOf(1), maxTokens = 1)
             val deadlineMs = systemMonotonicClock() + TIMEOUT_MS
-            val call = EngineCall(target(this@generate), AttemptId(attempt), request, emptyList(), deadlineMs)
+            val call = EngineCall(targetAt(endpoint), AttemptId(attempt), request, emptyList(), deadlineMs)
             engine.generate(call).toList()
         }
 
--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
@@ -3,13 +3,6 @@
 import io.guavashore.api.AttemptId
 import io.guavashore.api.Endpoint
 import io.guavashore.api.GenerateRequest
-import io.guavashore.api.PoolId
-import io.guavashore.api.Target
-import io.guavashore.api.TargetId
-import io.guavashore.api.TargetKind
-import io.guavashore.api.TargetStage
-import io.guavashore.api.TeamId
-import io.guavashore.api.ZoneId
 import io.guavashore.api.systemMonotonicClock
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
@@ -71,17 +64,7 @@
         if (thenClose) socket.close()
     }
 
-    private fun target(port: Int = server.localPort) =
-        Target(
-            TargetId("t"),
-            TeamId("t"),
-            PoolId("p"),
-            TargetKind.PLAIN,
-            ZoneId("a"),
-            Endpoint("127.0.0.1", port),
-            1,
-            TargetStage.SERVING,
-        )
+    private fun target(port: Int = server.localPort) = targetAt(Endpoint("127.0.0.1", port))
 
     private fun callPlain(
         maxResponseBytes: Long = 1_000,
