Taking a pooled connection copies the pool no longer

Cause: each take split the idle connections into two new lists and searched the list once more to remove the one taken. Change: expired ones are removed, then the last one that may be used by its place. The choice is the same; ConnectionPoolTest holds. Not measured. Conclusion: less work for each request.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
@@ -49,12 +49,11 @@
     ): HttpConnection? {
         val pooled = idle[key] ?: return null
         val now = System.nanoTime()
-        val (reusable, expired) = pooled.partition { it.isReusable(now) }
+        val expired = pooled.filterNot { it.isReusable(now) }
         expired.forEach { it.close() }
         pooled.removeAll(expired)
-        val taken = reusable.lastOrNull { requestId !in it.sentIds } ?: return null
-        pooled.remove(taken)
-        return taken
+        val index = pooled.indexOfLast { requestId !in it.sentIds }
+        return if (index < 0) null else pooled.removeAt(index)
     }
 
     private fun openReason(
