Items of routes with one service need no list of the services with targets

Cause: ItemDispatcher.step collected it at every step, also without a ready item and for routes that one service serves, at all targets. Change: it is collected at its first use. The decisions are the same; ItemRoutingTest holds. Not measured. Conclusion: the work is done only for routes that several services share.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
@@ -72,9 +72,10 @@
         declaration: EdgeDeclaration,
     ) {
         val now = clock()
-        val services = servicesWithTargets()
+        // Needed only for routes that several services share.
+        val services by lazy(LazyThreadSafetyMode.NONE) { servicesWithTargets() }
         val ready = waiting.filter { it.notBeforeMs <= now }
-        val demands = ready.mapNotNull { demandOf(it, declaration, services::contains) }
+        val demands = ready.mapNotNull { item -> demandOf(item, declaration, hasTargets = { it in services }) }
         if (demands.isEmpty()) return
         val engines = engineViews(declaration)
         itemsToRestart(demands, engines, now, config).forEach { item ->
