Each response that is passed on to a caller is logged

Cause: the log named failed attempts, relays and refusals only.

Change: `response passed on: request= target= status= response_to= exchange= receipt= attempts= body_bytes=` is written once the response was handed to the caller, for a stream once it is complete (`last_event=` instead of `body_bytes=`), with `peer=` on a VM that relays. `stream from target` has the same fields and is written once the stream has begun at the caller; a stream whose version of the weights has changed no longer leaves it, `stream interrupted` and `attempt failed` name that one. Nothing is written if the caller has disconnected. `item run ended` and `score call ended` name the response from which the outcome was taken. Orders were named already (`weight load ordered: status=`, on a connection of their own); a report whose status is not 200 is now named too. `exchange=` is HttpConnection.exchangeNumber, which also tells the first exchange.

Logging on the platform passes through logback's AsyncAppender (queue of 2,048 lines, neverBlock, dropped while full); lines are built in lambdas, so not at all while the level is off. Other programs (stand-in, ctl) log synchronously.

Before, no such line existed. No load was measured.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -10,6 +10,7 @@
 import io.guavashore.edge.limits.RateStatement
 import io.guavashore.edge.targets.EventReader
 import io.guavashore.edge.targets.ForwardingContext
+import io.guavashore.edge.targets.ReceivedResponse
 import io.guavashore.edge.targets.ResponseMetadata
 import io.guavashore.edge.targets.StreamEvent
 import io.guavashore.edge.targets.StreamIdleTimer
@@ -58,12 +59,14 @@
      * progress.
      *
      * @param deadlineInMs time left until the item is given up, passed on to the engine
+     * @param onResponse called with the beginning of the response from which the outcome is taken
      */
     suspend fun run(
         item: ItemState,
         engine: TargetEntry,
         permit: Permit,
         deadlineInMs: Long,
+        onResponse: (ReceivedResponse) -> Unit = {},
     ): RunOutcome {
         val connection =
             try {
@@ -77,7 +80,7 @@
             val record = item.batch.record
             val context = ForwardingContext(engine.id, record.organisation, deadlineInMs, item.progress.lastEventId)
             connection.send(protocol.itemRequest(item.spec, record.host, context), item.spec.id.value)
-            return read(item, engine, connection)
+            return read(item, engine, connection, onResponse)
         } catch (e: ExchangeFailure) {
             return RunOutcome.Broken(e.message.orEmpty())
         } finally {
@@ -89,10 +92,12 @@
         item: ItemState,
         engine: TargetEntry,
         connection: HttpConnection,
+        onResponse: (ReceivedResponse) -> Unit,
     ): RunOutcome {
         val response =
             withTimeoutOrNull(FIRST_RESPONSE_TIMEOUT_MS) { connections.receiveHead(engine.id, connection) }
                 ?: return RunOutcome.Broken("no response to this request")
+        onResponse(response)
         val (head, metadata) = response
         if (head.status != OK) return refusal(head, metadata, connection)
         if (!metadata.isGenuine) return RunOutcome.Broken("response without a receipt")
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
@@ -13,7 +13,9 @@
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.limits.Permit
 import io.guavashore.edge.limits.PermitSource
+import io.guavashore.edge.targets.ReceivedResponse
 import io.guavashore.edge.targets.TargetDirectory
+import io.guavashore.edge.targets.logFields
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
@@ -45,7 +47,10 @@
         val engine: TargetId,
         val startedMs: Long,
         var job: Job? = null,
-    )
+    ) {
+        /** Response from which the outcome was taken; null if there was none. */
+        var response: ReceivedResponse? = null
+    }
 
     private val runs = HashMap<ItemState, Run>()
 
@@ -141,7 +146,8 @@
         val eventsBefore = run.item.progress.size
         try {
             val leftMs = record.giveUpAtMs - wallClock()
-            onRunEnded(run, call.run(run.item, engine, permit, leftMs), eventsBefore)
+            val outcome = call.run(run.item, engine, permit, leftMs) { run.response = it }
+            onRunEnded(run, outcome, eventsBefore)
         } finally {
             if (runs[run.item] === run) runs.remove(run.item)
             if (run.item.phase == ItemPhase.RUNNING) {
@@ -173,7 +179,7 @@
         }
         log.info {
             "item run ended: item=${item.spec.id} batch=${item.batch.id} engine=${run.engine} " +
-                "software=${directory[run.engine]?.software} outcome=$outcome " +
+                "software=${directory[run.engine]?.software} outcome=$outcome ${run.response.logFields()} " +
                 "events=${item.progress.size} from=$eventsBefore ms=${clock() - run.startedMs} " +
                 "estimate_tokens=${item.spec.expectedOutputTokens} most_tokens=${item.spec.maxOutputTokens} " +
                 "prompt_tokens=${item.spec.promptTokens}"
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
@@ -8,6 +8,7 @@
 import io.guavashore.edge.limits.Permit
 import io.guavashore.edge.limits.RateStatement
 import io.guavashore.edge.targets.ForwardingContext
+import io.guavashore.edge.targets.ReceivedResponse
 import io.guavashore.edge.targets.ReportedLoad
 import io.guavashore.edge.targets.ResponseMetadata
 import io.guavashore.edge.targets.TargetConnectionPool
@@ -47,12 +48,17 @@
     private val onNoLimitNamed: OnNoLimitNamed = { _, _ -> },
     private val onLoadReported: (TargetEntry, ReportedLoad) -> Unit,
 ) {
-    /** Sends the score call [scorer] to [target] under [permit]; it is [ScoreOutcome.Broken] after [timeoutMs]. */
+    /**
+     * Sends the score call [scorer] to [target] under [permit]; it is [ScoreOutcome.Broken] after [timeoutMs].
+     *
+     * @param onResponse called with the beginning of the response from which the outcome is taken
+     */
     suspend fun run(
         scorer: ScorerSpec,
         target: TargetEntry,
         timeoutMs: Long,
         permit: Permit = Permit(target.id),
+        onResponse: (ReceivedResponse) -> Unit = {},
     ): ScoreOutcome {
         val connection =
             try {
@@ -69,7 +75,7 @@
                 ),
                 scorer.id.value,
             )
-            return withTimeoutOrNull(timeoutMs) { read(scorer, target, connection) }
+            return withTimeoutOrNull(timeoutMs) { read(scorer, target, connection, onResponse) }
                 ?: ScoreOutcome.Broken("no complete response within $timeoutMs ms")
         } catch (e: ExchangeFailure) {
             return ScoreOutcome.Broken(e.message.orEmpty())
@@ -82,9 +88,11 @@
         scorer: ScorerSpec,
         target: TargetEntry,
         connection: HttpConnection,
+        onResponse: (ReceivedResponse) -> Unit,
     ): ScoreOutcome {
         val response =
             connections.receiveHead(target.id, connection) ?: return ScoreOutcome.Broken("response to another call")
+        onResponse(response)
         val (head, metadata) = response
         metadata.load?.let { onLoadReported(target, it) }
         if (metadata.notRun || head.status == MISDIRECTED) {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreDispatcher.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreDispatcher.kt
@@ -13,7 +13,9 @@
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.forward.TargetLoads
 import io.guavashore.edge.limits.PermitSource
+import io.guavashore.edge.targets.ReceivedResponse
 import io.guavashore.edge.targets.TargetDirectory
+import io.guavashore.edge.targets.logFields
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
@@ -48,7 +50,10 @@
         val target: TargetId,
         val startedMs: Long,
         var job: Job? = null,
-    )
+    ) {
+        /** Response from which the outcome was taken; null if there was none. */
+        var response: ReceivedResponse? = null
+    }
 
     /** Score calls made for one item. */
     private class Attempts {
@@ -160,7 +165,8 @@
         run.job =
             scope.launch(start = CoroutineStart.UNDISPATCHED) {
                 try {
-                    onCallEnded(item, run, call.run(scorer, target, timeoutMs, permit))
+                    val outcome = call.run(scorer, target, timeoutMs, permit) { run.response = it }
+                    onCallEnded(item, run, outcome)
                 } finally {
                     targets.loads.end(target.id)
                     attemptsByItem[item]?.running?.remove(run)
@@ -178,8 +184,8 @@
         val tookMs = clock() - run.startedMs
         log.info {
             "score call ended: item=${item.spec.id} batch=${item.batch.id} call=${item.spec.scorer?.id} " +
-                "target=${run.target} outcome=$outcome ms=$tookMs waited_ms=${run.startedMs - item.textCompleteAtMs} " +
-                "failures=${item.scoreFailures}"
+                "target=${run.target} outcome=$outcome ${run.response.logFields()} ms=$tookMs " +
+                "waited_ms=${run.startedMs - item.textCompleteAtMs} failures=${item.scoreFailures}"
         }
         when (outcome) {
             is ScoreOutcome.Scored -> onScored(item, run, outcome.score, tookMs)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -17,13 +17,12 @@
 import io.guavashore.edge.suspects.Trial
 import io.guavashore.edge.targets.ForwardingContext
 import io.guavashore.edge.targets.ProcessCheck
+import io.guavashore.edge.targets.ReceivedResponse
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
 import io.guavashore.edge.targets.TargetProtocol
 import io.guavashore.net.ExchangeFailure
 import io.guavashore.net.HttpConnection
-import io.guavashore.net.HttpResponseMessage
-import io.guavashore.net.ResponseHead
 import kotlinx.coroutines.withTimeoutOrNull
 
 private val log = KotlinLogging.logger {}
@@ -238,25 +237,25 @@
             connections.receiveHead(target.id, connection) ?: return rejectResponse(call, target, connection)
         val (head, metadata) = response
         metadata.load?.let { loads.recordLoad(target.id, it, clock()) }
-        if (metadata.notRun || head.status == MISDIRECTED) return handleNotRun(target, head, connection)
+        if (metadata.notRun || head.status == MISDIRECTED) return handleNotRun(target, head.status, connection)
         recordUsageOnce(call)
         if (!metadata.isGenuine) return rejectResponse(call, target, connection)
         if (metadata.rate == RateStatement.Unlimited) observer.onNoLimitNamed(target.id, connection.sentAtNs)
         val isStream = call.route.kind == RouteKind.STREAMING && head.status < FIRST_ERROR_STATUS
         return when {
-            isStream -> forwardStream(call, target, head, connection)
+            isStream -> forwardStream(call, target, response, connection)
             call.exchange.hasBegun -> rejectResponse(call, target, connection)
-            else -> forwardBuffered(call, target, head, connection)
+            else -> forwardBuffered(call, target, response, connection)
         }
     }
 
     private suspend fun forwardStream(
         call: ForwardedCall,
         target: TargetEntry,
-        head: ResponseHead,
+        response: ReceivedResponse,
         connection: HttpConnection,
     ): AttemptOutcome? {
-        val outcome = streams.forward(call, target, head, connection)
+        val outcome = streams.forward(call, ResponseSender.Target(target), response, connection)
         if (outcome == null) onCompleted(call)
         return if (outcome != null && call.mustAbortOnFailure) abort(call) else outcome
     }
@@ -264,9 +263,10 @@
     private suspend fun forwardBuffered(
         call: ForwardedCall,
         target: TargetEntry,
-        head: ResponseHead,
+        response: ReceivedResponse,
         connection: HttpConnection,
     ): AttemptOutcome? {
+        val head = response.head
         val body = connection.readBody(MAX_BUFFERED_BYTES)
         onCompleted(call)
         val retryable = head.status >= FIRST_SERVER_ERROR_STATUS && call.route.kind == RouteKind.SAFE
@@ -275,7 +275,7 @@
             return AttemptOutcome.UNCERTAIN
         }
         directory.recordSuccess(target.id)
-        call.exchange.respond(HttpResponseMessage(head.status, targets.responseHeaders(head), body))
+        call.passOn(response, ResponseSender.Target(target), targets.responseHeaders(head), body)
         errorResponder.count(call, "answered")
         return null
     }
@@ -287,11 +287,11 @@
 
     private suspend fun handleNotRun(
         target: TargetEntry,
-        head: ResponseHead,
+        status: Int,
         connection: HttpConnection,
     ): AttemptOutcome {
         connection.discardBody(MAX_ERROR_BYTES)
-        if (head.status == MISDIRECTED) directory.recordFailure(target.id)
+        if (status == MISDIRECTED) directory.recordFailure(target.id)
         return AttemptOutcome.NOT_RUN
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
@@ -13,10 +13,10 @@
 import io.guavashore.edge.front.CallerProtocol
 import io.guavashore.edge.peers.Heartbeat
 import io.guavashore.edge.targets.ConnectionPool
+import io.guavashore.edge.targets.ReceivedResponse
 import io.guavashore.edge.targets.TargetProtocol
 import io.guavashore.net.ExchangeFailure
 import io.guavashore.net.HttpConnection
-import io.guavashore.net.HttpResponseMessage
 import io.guavashore.net.ResponseHead
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -71,7 +71,7 @@
         try {
             val request = callers.relayedRequest(call.exchange.request, leftMs, call.resumption())
             connection.send(request, call.metadata.requestId)
-            return withTimeoutOrNull(leftMs.coerceAtLeast(1)) { handleResponse(call, connection) }
+            return withTimeoutOrNull(leftMs.coerceAtLeast(1)) { handleResponse(call, peer.vm, connection) }
                 ?: Result(interrupted(call))
         } catch (e: ExchangeFailure) {
             log.info {
@@ -92,6 +92,7 @@
 
     private suspend fun handleResponse(
         call: ForwardedCall,
+        peer: VmId,
         connection: HttpConnection,
     ): Result {
         val head = connection.head()
@@ -101,8 +102,10 @@
             return Result(interrupted(call))
         }
         if (!metadata.isGenuine) return handleRefusal(call, head, connection)
+        val response = ReceivedResponse(head, metadata, connection.exchangeNumber)
+        val sender = ResponseSender.Peer(peer)
         if (call.route.kind == RouteKind.STREAMING && head.status < FIRST_ERROR_STATUS) {
-            val outcome = streams.forward(call, null, head, connection)
+            val outcome = streams.forward(call, sender, response, connection)
             return Result(if (outcome != null && call.mustAbortOnFailure) interrupted(call) else outcome)
         }
         if (call.exchange.hasBegun) {
@@ -112,7 +115,7 @@
         }
         val body = connection.readBody(MAX_BUFFERED_BYTES)
         call.responseCompleted = true
-        call.exchange.respond(HttpResponseMessage(head.status, targets.responseHeaders(head), body))
+        call.passOn(response, sender, targets.responseHeaders(head), body)
         return Result(null)
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/StreamForwarder.kt
@@ -12,6 +12,7 @@
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.streams.StreamOrigin
 import io.guavashore.edge.targets.EventReader
+import io.guavashore.edge.targets.ReceivedResponse
 import io.guavashore.edge.targets.StreamEvent
 import io.guavashore.edge.targets.StreamIdleTimer
 import io.guavashore.edge.targets.TargetProtocol
@@ -42,31 +43,34 @@
 ) {
     /**
      * Forwards complete events only. Returns null once the complete stream has been sent. An interrupted stream is
-     * resumed by the next attempt or aborted, so that the caller can't take it for complete. [target] is null for a
-     * stream that a peer relays; the peer records its origin.
+     * resumed by the next attempt or aborted, so that the caller can't take it for complete. A peer records the origins
+     * of the streams that it relays.
      */
     suspend fun forward(
         call: ForwardedCall,
-        target: TargetEntry?,
-        head: ResponseHead,
+        sender: ResponseSender,
+        response: ReceivedResponse,
         connection: HttpConnection,
     ): AttemptOutcome? {
-        log.info {
-            "stream from target: request=${call.metadata.requestId} target=${target?.id} " +
-                "software=${target?.software} " +
-                "resumes=${call.metadata.resumes} " +
-                "after_event=${call.lastEventId}"
-        }
-        val version = targets.metadata(head).weightVersion
+        val (head, metadata) = response
+        val version = metadata.weightVersion
+        val target = (sender as? ResponseSender.Target)?.entry
         if (call.exchange.hasBegun) {
             if (version != call.stream.weightVersion) return interrupted(call, "weight version changed to $version")
         } else {
             call.exchange.begin(ResponseHead(head.status, targets.responseHeaders(head)))
             call.stream.weightVersion = version
         }
-        return forwardEvents(call, target, connection)
+        log.info {
+            "stream from target: ${call.logFields(response, sender)} software=${target?.software} " +
+                "resumes=${call.metadata.resumes} after_event=${call.lastEventId}"
+        }
+        val failure = forwardEvents(call, target, connection)
+        if (failure == null) call.finish(response, sender)
+        return failure
     }
 
+    /** Returns null once all events have been sent. */
     private suspend fun forwardEvents(
         call: ForwardedCall,
         target: TargetEntry?,
@@ -83,7 +87,6 @@
             if (idleTimer.hasExceeded(timeoutMs)) return timedOut(call, timeoutMs)
         }
         if (!reader.isBetweenEvents) return interrupted(call, "stream ended within an event")
-        call.exchange.finish()
         return null
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
@@ -29,7 +29,7 @@
             engine,
             protocol.control.reportRequest(engine.id),
             REPORT_TIMEOUT_MS,
-        )?.let { protocol.control.report(it.body) }
+        )?.let { reportIn(it, engine) }
 
     /** Like [report], over [connection], which was taken for another request. Sent without a permit. */
     suspend fun reportOver(
@@ -38,7 +38,16 @@
     ): EngineReport? {
         connection.send(protocol.control.reportRequest(engine.id))
         val response = withTimeoutOrNull(REPORT_TIMEOUT_MS) { receiveResponse(engine, connection) }
-        return response?.let { protocol.control.report(it.body) }
+        return response?.let { reportIn(it, engine) }
+    }
+
+    private fun reportIn(
+        response: HttpResponseMessage,
+        engine: TargetEntry,
+    ): EngineReport? {
+        val status = response.status
+        if (status != OK) log.info { "report with an error status: engine=${engine.id} status=$status" }
+        return protocol.control.report(response.body)
     }
 
     /**
@@ -89,6 +98,8 @@
     }
 
     private companion object {
+        const val OK = 200
+
         /** Both kinds of call are answered within milliseconds unless the engine or the link to it has a problem. */
         const val ORDER_TIMEOUT_MS = 800L
         const val REPORT_TIMEOUT_MS = 500L
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnectionPool.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetConnectionPool.kt
@@ -16,12 +16,22 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Beginning of a target's response; the body is read from the connection. */
+/**
+ * Beginning of a target's response; the body is read from the connection.
+ *
+ * @property exchangeNumber number of the request to which this is the response on its connection, counted from 1
+ */
 data class ReceivedResponse(
     val head: ResponseHead,
     val metadata: ResponseMetadata,
+    val exchangeNumber: Int,
 )
 
+/** Fields of log lines about this response; null if there was none. */
+internal fun ReceivedResponse?.logFields(): String =
+    "status=${this?.head?.status} response_to=${this?.metadata?.requestId} exchange=${this?.exchangeNumber} " +
+        "receipt=${this?.metadata?.receipt}"
+
 /**
  * Pool of idle connections by target. Not thread-safe.
  *
@@ -56,11 +66,11 @@
         if (statedId != connection.requestId && !isOnlyOne) {
             log.warn {
                 "response to another request, connection closed: target=$target status=${head.status} " +
-                    "request=${connection.requestId} response_to=$statedId"
+                    "request=${connection.requestId} response_to=$statedId exchange=${connection.exchangeNumber}"
             }
             connection.close()
             return null
         }
-        return ReceivedResponse(head, metadata).also { onResponse(target, it) }
+        return ReceivedResponse(head, metadata, connection.exchangeNumber).also { onResponse(target, it) }
     }
 }
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -76,10 +76,13 @@
     /** Start of the server's process as it stated on this connection, in Unix milliseconds; null if it is not known. */
     var serverBornAtMs: Long? = null
 
-    /** True while no request before the last one was sent, so that no response to another request can arrive. */
-    var isFirstExchange = true
+    /** Number of the last request on this connection, counted from 1; 0 before the first. */
+    var exchangeNumber = 0
         private set
 
+    /** True while no request before the last one was sent, so that no response to another request can arrive. */
+    val isFirstExchange: Boolean get() = exchangeNumber <= 1
+
     /** True from the sending of a request until its response has been read completely. */
     var busy = false
         private set
@@ -120,7 +123,7 @@
         check(requestId !in sentIds) { "the request id $requestId was already sent on this connection" }
         requestId?.let(sentIds::add)
         this.requestId = requestId
-        isFirstExchange = sentAtNs == 0L
+        exchangeNumber++
         busy = true
         sentAtNs = System.nanoTime()
         lastPartReceived = false
