--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpDialer.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpDialer.kt
@@ -4,6 +4,7 @@
 package io.guavashore.net
 
 import io.guavashore.api.Endpoint
+import io.netty.channel.ChannelHandler
 import io.netty.handler.codec.http.HttpClientCodec
 
 /** Connects to a server within `timeoutMs`; throws [ExchangeFailure.NotConnected] on failure. */
@@ -20,12 +21,19 @@
         timeoutMs: Long,
     ): HttpConnection {
         val connection = HttpConnection(responseBudget)
-        dial(loop, endpoint, timeoutMs) { listOf(UndecodedByteCounter(connection), HttpClientCodec(), connection) }
+        dial(loop, endpoint, timeoutMs) { handlersOf(connection) }
         return connection
     }
 
-    private companion object {
+    internal companion object {
+        fun handlersOf(connection: HttpConnection): List<ChannelHandler> =
+            listOf(
+                UndecodedByteCounter(connection),
+                HttpClientCodec(),
+                connection,
+            )
+
         /** Limit on the response bodies buffered at the same time: a fifth of the heap of the smallest VM. */
-        const val MAX_BUFFERED_BYTES = 24_000_000L
+        private const val MAX_BUFFERED_BYTES = 24_000_000L
     }
 }
--- /dev/null
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/EmbeddedConnection.kt
@@ -0,0 +1,41 @@
+/*
+ * Connection without a socket, whose received bytes and time are given.
+ */
+package io.guavashore.net
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.embedded.EmbeddedChannel
+import kotlinx.coroutines.runBlocking
+import java.util.concurrent.TimeUnit
+
+internal class EmbeddedConnection {
+    private val connection = HttpConnection(ByteBudget(maxBytes = 1_000_000))
+    private val channel = EmbeddedChannel(*HttpDialer.handlersOf(connection).toTypedArray())
+
+    fun send() = connection.send(HttpRequestMessage("GET", "/", Headers.NONE))
+
+    /** Receives [bytes] with one read, after which [pauseMs] pass. */
+    fun receive(
+        bytes: String,
+        pauseMs: Long = 0,
+    ) {
+        if (channel.isOpen) channel.writeInbound(Unpooled.wrappedBuffer(bytes.encodeToByteArray()))
+        channel.advanceTimeBy(pauseMs, TimeUnit.MILLISECONDS)
+        channel.runScheduledPendingTasks()
+    }
+
+    fun close() {
+        channel.close()
+    }
+
+    /** Returns the status, the header fields and the body of the response; null if it did not arrive completely. */
+    fun response(): String? =
+        runBlocking {
+            try {
+                val response = connection.readResponse(maxBytes = 100_000)
+                "${response.status} ${response.headers.toList()} ${response.body.decodeToString()}"
+            } catch (_: ExchangeFailure) {
+                null
+            }
+        }
+}
