A response that begins within another one is never part of it

Seen by callers: a success with the receipt of a failure, or a body with the text of two responses. Cause: a server breaks off a response and sends another one on the same connection. Wherever the first one ends (status line, field, chunk, body, trailer), the decoder goes on with the bytes of the second. Whatever was compared afterwards (id, receipt) was that of the second response. Ruled out: stricter decoding (the joined head is valid: a reason, a field's value and a body may hold any text); new connections (a target breaks off its own response as well); waiting for bytes after the response (a length that the second response fills exactly leaves none). Change: ResponseBoundaryHandler reads the bytes before the decoder. If a status line followed by a field or an empty line begins anywhere but at the beginning of an exchange or behind an interim response, the connection is closed, and the exchange fails like any other that is broken off. Such bytes are held back until that is certain, for 20 ms at most. What it costs: a body that quotes a response with the line ends of the protocol is not passed on either, since it can't be told from two responses; lines that end in LF, or lines of an event stream, don't count. A read that ends like a status line begins is delayed by up to 20 ms. Conclusion: every response starts with a status line, so a second one can't be missed; it is found where bytes become messages, for each kind of call that uses HttpConnection.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -62,6 +62,13 @@
     private var isInterim = false
     private var interimResponses = 0
 
+    /** True from the end of an interim response to the beginning of the next response. */
+    internal var isInterimResponseComplete = false
+        private set
+
+    /** True from the sending of a request until the end of its response has arrived. */
+    internal val isResponseDue: Boolean get() = responseParts != null && !lastPartReceived && closeReason == null
+
     /** Number of messages and parts of messages that have been decoded. */
     internal var messagesDecoded = 0L
         private set
@@ -129,6 +136,7 @@
         lastPartReceived = false
         lastPartConsumed = false
         interimResponses = 0
+        isInterimResponseComplete = false
         responseParts = CoroutineChannel(UNLIMITED, onUndeliveredElement = ReferenceCountUtil::release)
         val headers = DefaultHttpHeaders(false)
         request.headers.forEach { (name, value) -> headers.add(name, value) }
@@ -251,6 +259,7 @@
             isInterim = msg.status().code() < FIRST_FINAL_STATUS
             if (isInterim && ++interimResponses > MAX_INTERIM_RESPONSES) return closeWith("too many interim responses")
         }
+        isInterimResponseComplete = msg is LastHttpContent && isInterim
         lastPartReceived = msg is LastHttpContent && !isInterim
         receiver.trySend(msg)
     }
@@ -279,7 +288,8 @@
         return ExchangeFailure.Broken(reason)
     }
 
-    private fun closeWith(reason: String) {
+    /** Closes the connection; the exchange in progress fails with [reason]. */
+    internal fun closeWith(reason: String) {
         if (closeReason == null) closeReason = reason
         responseParts?.close(ExchangeFailure.Broken(reason))
         // Without a reset, a request that a partition holds up would still be delivered after it, and run.
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpDialer.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpDialer.kt
@@ -28,6 +28,7 @@
     internal companion object {
         fun handlersOf(connection: HttpConnection): List<ChannelHandler> =
             listOf(
+                ResponseBoundaryHandler(connection),
                 UndecodedByteCounter(connection),
                 HttpClientCodec(),
                 connection,
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/EmbeddedConnection.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/EmbeddedConnection.kt
@@ -8,11 +8,14 @@
 import kotlinx.coroutines.runBlocking
 import java.util.concurrent.TimeUnit
 
-internal class EmbeddedConnection {
+internal class EmbeddedConnection : AutoCloseable {
     private val connection = HttpConnection(ByteBudget(maxBytes = 1_000_000))
     private val channel = EmbeddedChannel(*HttpDialer.handlersOf(connection).toTypedArray())
 
-    fun send() = connection.send(HttpRequestMessage("GET", "/", Headers.NONE))
+    fun send() {
+        connection.send(HttpRequestMessage("GET", "/", Headers.NONE))
+        channel.releaseOutbound()
+    }
 
     /** Receives [bytes] with one read, after which [pauseMs] pass. */
     fun receive(
@@ -24,8 +27,8 @@
         channel.runScheduledPendingTasks()
     }
 
-    fun close() {
-        channel.close()
+    override fun close() {
+        channel.finishAndReleaseAll()
     }
 
     /** Returns the status, the header fields and the body of the response; null if it did not arrive completely. */
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/JoinedResponsesTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/JoinedResponsesTest.kt
@@ -5,8 +5,8 @@
 import kotlin.test.assertEquals
 
 /**
- * Guards against a caller that gets parts of two responses as one: a server breaks off a response, at any byte, and sends
- * the response to the request after it. What is received is the second one, whole, or nothing.
+ * Guards against a caller that gets parts of two responses as one: a server breaks off a response, at any byte, and
+ * sends another one after it. What is received is the second one, whole, or nothing.
  */
 class JoinedResponsesTest {
     private val random = Random(SEED)
@@ -62,7 +62,7 @@
         assertEquals(emptyList(), joined.take(SHOWN), "${joined.size} of $spliceCount")
     }
 
-    /** Returns what is received if the server sends [reads] and closes the connection; null without a whole response. */
+    /** Returns what is received of [reads], after which the connection is closed; null without a whole response. */
     private fun receive(reads: List<String>): String? {
         val connection = EmbeddedConnection()
         connection.send()
