A response that states several ids or receipts belongs to no request

Seen in tests: of several request ids or receipts in one head the first was taken, so a response joined from two was accepted for the request that its first id names, and as genuine. PeerRelay compared ids by itself and logged nothing. Cause: responseMetadata reads the first value of a field; nothing asked whether there are others. Ruled out: Content-Length. Change: ResponseMetadata.isAmbiguous; receiveHead is a function of its own file that the pool of targets and PeerRelay use, with the same log line (`ambiguous` is new in it). For a peer this also admits a response without an id on the first exchange of a connection, as for targets: it can belong to no other request. Before: both tests of AmbiguousResponsesTest failed (200 of a peer passed on; accepted on a first and on a later exchange). After: they pass, as do LateDuplicatesTest, RepeatedRequestIdsTest, TargetMessagesTest and PlatformNamesIsolationTest (25 tests of 25). Conclusion: a head has to identify one response before anything is taken from it.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
@@ -13,8 +13,8 @@
 import io.guavashore.edge.front.CallerProtocol
 import io.guavashore.edge.peers.Heartbeat
 import io.guavashore.edge.targets.ConnectionPool
-import io.guavashore.edge.targets.ReceivedResponse
 import io.guavashore.edge.targets.TargetProtocol
+import io.guavashore.edge.targets.receiveHead
 import io.guavashore.net.ExchangeFailure
 import io.guavashore.net.HttpConnection
 import io.guavashore.net.ResponseHead
@@ -95,14 +95,9 @@
         peer: VmId,
         connection: HttpConnection,
     ): Result {
-        val head = connection.head()
-        val metadata = targets.metadata(head)
-        if (metadata.requestId != call.metadata.requestId) {
-            connection.close()
-            return Result(interrupted(call))
-        }
+        val response = connection.receiveHead("peer=$peer", targets.metadata) ?: return Result(interrupted(call))
+        val (head, metadata) = response
         if (!metadata.isGenuine) return handleRefusal(call, head, connection)
-        val response = ReceivedResponse(head, metadata, connection.exchangeNumber)
         val sender = ResponseSender.Peer(peer)
         if (call.route.kind == RouteKind.STREAMING && head.status < FIRST_ERROR_STATUS) {
             val outcome = streams.forward(call, sender, response, connection)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
@@ -34,6 +34,7 @@
  * @property weightVersion version of the weights at the beginning of the response
  * @property load requests that run and wait at the target
  * @property rate what the response says about the rate of requests that the target takes
+ * @property isAmbiguous true if the response states its receipt or a request id more than once
  */
 data class ResponseMetadata(
     val receipt: String?,
@@ -42,6 +43,7 @@
     val weightVersion: Long?,
     val load: ReportedLoad?,
     val rate: RateStatement = RateStatement.Unlimited,
+    val isAmbiguous: Boolean = false,
 ) {
     val isGenuine: Boolean get() = receipt != null
 }
