Nothing that arrives after a connection's last response is handled

Seen in tests: a request in chunks that exceeds the limit was answered 413 and then handled with a truncated body, as was the next one of the same read; a request that follows one with Connection: close, or the last one before a planned stop, was handled though its response can't be sent. The same path answers 503 if there is no memory for a body, and 408 to a slow one: both promise that the request will not run. Cause: CallerConnection went on with its state after the response that closes the connection. What has been decoded in the same read, or arrives until that response is written, was taken for more of the request or for another one. Ruled out: an aborted response; its exchange stays in place, so nothing follows it (tested). Change: isClosing; what arrives then is released. The unused property `used` is gone.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/CallerConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/CallerConnection.kt
@@ -33,7 +33,9 @@
     private var exchange: HttpExchange? = null
     private var handlerJob: Job? = null
     private var timer: ScheduledFuture<*>? = null
-    private var used = false
+
+    /** True once the last response of the connection has been sent; nothing that arrives after it is taken. */
+    private var isClosing = false
 
     val isActive: Boolean get() = exchange != null
 
@@ -53,6 +55,10 @@
         msg: Any,
     ) {
         if (msg !is HttpObject) return
+        if (isClosing) {
+            ReferenceCountUtil.release(msg)
+            return
+        }
         if (exchange != null) return queue(msg)
         accept(msg)
     }
@@ -141,14 +147,16 @@
         body = ByteArrayOutputStream()
         exchange = null
         handlerJob = null
-        used = true
-        if (!keepAlive || server.isStopping) return
+        if (!keepAlive || server.isStopping) {
+            isClosing = true
+            return
+        }
         startTimer(limits().idleTimeoutMs)
         resume()
     }
 
     private fun resume() {
-        while (exchange == null) {
+        while (exchange == null && !isClosing) {
             val next = pipelined.removeFirstOrNull() ?: break
             accept(next)
         }
@@ -156,6 +164,7 @@
     }
 
     private fun refuse(status: Int) {
+        isClosing = true
         timer?.cancel(false)
         HttpExchange.sendAndClose(context, status)
     }
