A request whose length is stated in two ways is rejected

Seen in tests: a request with Content-Length and Transfer-Encoding: chunked was handled by its chunks, the length dropped; one with `gzip, chunked`, `chunked, gzip`, chunked twice or chunked beside identity was handled by its chunks, and its target got the coded bytes without the field; one with `gzip` or an unknown coding was handled without a body, and its body as the next request. A recipient before or behind this one may read a different end, so that a request can be smuggled in the body of another. Cause: Netty's decoder looks only for chunked among the codings and lets it take precedence over a length. Ruled out: several lengths, a list of lengths, signs, white space before the colon, folded or oddly separated codings: Netty rejects them. Change: RequestDecoder rejects both fields; ambiguityOf rejects codings other than one chunked, and any in HTTP/1.0: 400 and close. Both rejections, and those of the decoder, are logged with their reason. The standard allows to reject each of them. Conclusion: what is handled as one request has one end.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/CallerConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/CallerConnection.kt
@@ -4,6 +4,7 @@
  */
 package io.guavashore.net
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -20,6 +21,8 @@
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 
+private val log = KotlinLogging.logger {}
+
 internal class CallerConnection(
     private val server: HttpServer,
     private val loop: ProcessLoop,
@@ -93,7 +96,7 @@
     private fun accept(message: HttpObject) {
         if (message.decoderResult().isFailure) {
             ReferenceCountUtil.release(message)
-            return refuse(BAD_REQUEST)
+            return reject(message.decoderResult().cause().message)
         }
         if (message is HttpRequest) begin(message)
         if (message is HttpContent) append(message)
@@ -102,6 +105,7 @@
     private fun begin(request: HttpRequest) {
         head = request
         startTimer(limits().headerTimeoutMs + BODY_TIMEOUT_MS)
+        ambiguityOf(request)?.let { return reject(it) }
         if (HttpUtil.getContentLength(request, 0L) > limits().bodyBytes) return refuse(CONTENT_TOO_LARGE)
         if (HttpUtil.is100ContinueExpected(request)) HttpExchange.sendContinue(context)
     }
@@ -163,6 +167,14 @@
         if (pipelined.size <= MAX_QUEUED_MESSAGES) context.channel().config().isAutoRead = true
     }
 
+    private fun reject(reason: String?) {
+        val shortReason = reason?.take(MAX_REASON_CHARS)
+        log.info {
+            "request rejected, connection closed: remote=${context.channel().remoteAddress()} reason=$shortReason"
+        }
+        refuse(BAD_REQUEST)
+    }
+
     private fun refuse(status: Int) {
         isClosing = true
         timer?.cancel(false)
@@ -188,6 +200,8 @@
         /** A pipelined request of typical size consists of two messages: head and body. */
         const val MAX_QUEUED_MESSAGES = 8
 
+        const val MAX_REASON_CHARS = 200
+
         /** Time for the body after the head: the largest body takes 27 s at 10 Mbit/s. */
         const val BODY_TIMEOUT_MS = 27_000L
 
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpServer.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpServer.kt
@@ -6,7 +6,6 @@
 import io.guavashore.api.Endpoint
 import io.netty.channel.Channel
 import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
 
 /** Limits on what callers may send and how long they may take. */
@@ -52,7 +51,7 @@
             HttpDecoderConfig()
                 .setMaxInitialLineLength(limits().headerBytes)
                 .setMaxHeaderSize(limits().headerBytes)
-        channel.pipeline().addLast(HttpRequestDecoder(decoderConfig), HttpResponseEncoder())
+        channel.pipeline().addLast(RequestDecoder(decoderConfig), HttpResponseEncoder())
         val connection = CallerConnection(this, loop, limits, handler)
         connections += connection
         channel.pipeline().addLast(connection)
--- /dev/null
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/RequestDecoder.kt
@@ -0,0 +1,29 @@
+/*
+ * Decoder of callers' requests that rejects what another recipient could split into requests differently. Netty's
+ * decoder ignores a Content-Length beside Transfer-Encoding, and reads codings that it does not know as a missing body.
+ */
+package io.guavashore.net
+
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpVersion
+
+/** Decoder of the requests on one caller's connection. */
+internal class RequestDecoder(
+    config: HttpDecoderConfig,
+) : HttpRequestDecoder(config) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) =
+        throw IllegalArgumentException("both Content-Length and Transfer-Encoding")
+}
+
+/** Returns why [request] could be read differently by another recipient, or null. */
+internal fun ambiguityOf(request: HttpRequest): String? {
+    val codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+    if (codings.isEmpty()) return null
+    if (!codings.singleOrNull().equals("chunked", ignoreCase = true)) return "Transfer-Encoding other than chunked"
+    if (request.protocolVersion() != HttpVersion.HTTP_1_1) return "Transfer-Encoding in a request of HTTP/1.0"
+    return null
+}
