--- a/guavashore-net/src/test/kotlin/io/guavashore/net/AmbiguousRequestsTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/AmbiguousRequestsTest.kt
@@ -70,6 +70,36 @@
                 },
         )
 
+    /** Guards against a request with the line of one and the fields of another. */
+    @Test
+    fun `a request that is broken off in its head and followed by another is rejected`() {
+        val next = "POST /next HTTP/1.1\r\nHost: h\r\nX-Id: b\r\nContent-Length: 2\r\n\r\nxy"
+        listOf("Host: h", "X-Id: a", "Content-Length: 3").let { listOf(it, it.reversed()) }.forEach { fields ->
+            val line = "POST /a HTTP/1.1"
+            val head = fields.joinToString("\r\n", prefix = "$line\r\n")
+            val cuts = (line.indexOf(' ') + 1..head.length).map { head.take(it) }
+            assertRejected(cuts.map { it + next })
+            // An empty line would complete the head.
+            assertRejected(cuts.filterNot { it.endsWith("\n") }.map { it + "\r\n" + next })
+        }
+    }
+
+    @Test
+    fun `a request whose head is malformed is rejected`() =
+        assertRejected(
+            listOf(
+                "GET /a HTTP/1.1\nHost: h\n\n",
+                "GET /a HTTP/1.1\r\nHost: h\nX: y\r\n\r\n",
+                "GET /a HTTP/1.1\r\nHost: h\r\nX: y\rZ: t\r\n\r\n",
+                "GET /a HTTP/1.1\r\nHost : h\r\n\r\n",
+                "GET /a HTTP/1.1\r\n Host: h\r\n\r\n",
+                "GET /a HTTP/1.1\r\nHost: h\r\nPOST /b HTTP/1.1\r\n\r\n",
+                "GET /a HTTP/1.1\r\nHost: h\r\nPOST http://h/b HTTP/1.1\r\n\r\n",
+                "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+                "GET /a HTTP/1.1\r\nHost: h\r\nX: a\u0000b\r\n\r\n",
+            ),
+        )
+
     /** Guards against strictness that rejects what the standard allows. */
     @Test
     fun `requests that are legal though unusual are accepted`() {
