--- /dev/null
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/RequestAmbiguity.kt
@@ -0,0 +1,32 @@
+/*
+ * Checks of a request's head for what another recipient could split into requests differently. Netty's decoder reads
+ * codings that it does not know as a missing body, and takes any text as the value of a field.
+ */
+package io.guavashore.net
+
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpVersion
+
+/** Returns why [request] could be read differently by another recipient, or null. */
+internal fun ambiguityOf(request: HttpRequest): String? = ambiguityOfLength(request) ?: ambiguityOfHead(request)
+
+private fun ambiguityOfLength(request: HttpRequest): String? {
+    val codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+    if (codings.isEmpty()) return null
+    if (!codings.singleOrNull().equals("chunked", ignoreCase = true)) return "Transfer-Encoding other than chunked"
+    if (request.protocolVersion() != HttpVersion.HTTP_1_1) return "Transfer-Encoding in a request of HTTP/1.0"
+    return null
+}
+
+/**
+ * A head that is broken off within a field and followed by another one has the second's line in that field, and its
+ * Host after it.
+ */
+private fun ambiguityOfHead(request: HttpRequest): String? {
+    if (request.headers().getAll(HttpHeaderNames.HOST).size > 1) return "several Host fields"
+    val beforeHost = request.headers().takeWhile { !it.key.equals("Host", ignoreCase = true) }
+    return "a request line within a field".takeIf { beforeHost.any { END_OF_REQUEST_LINE.containsMatchIn(it.value) } }
+}
+
+private val END_OF_REQUEST_LINE = Regex("[A-Z]+ \\S+ HTTP/1\\.[01]$")
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/AmbiguousRequestsTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/AmbiguousRequestsTest.kt
@@ -27,11 +27,17 @@
     private fun <T> onLoop(block: suspend () -> T): T = runBlocking { loop.scope.async { block() }.await() }
 
     /** Sends [bytes] as ISO 8859-1; returns the statuses of the responses until the server closes the connection. */
-    private fun statuses(bytes: String): List<Int> {
+    private fun statuses(
+        bytes: String,
+        oneByOne: Boolean = false,
+    ): List<Int> {
         received.clear()
         return Socket(endpoint.host, endpoint.port).use { socket ->
             socket.soTimeout = READ_TIMEOUT_MS
-            socket.getOutputStream().write(bytes.toByteArray(Charsets.ISO_8859_1))
+            socket.tcpNoDelay = true
+            bytes.chunked(if (oneByOne) 1 else bytes.length).forEach {
+                socket.getOutputStream().write(it.toByteArray(Charsets.ISO_8859_1))
+            }
             val responses = socket.getInputStream().readAllBytes().decodeToString()
             STATUS_LINE.findAll(responses).map { it.groupValues[1].toInt() }.toList()
         }
@@ -100,6 +106,45 @@
             ),
         )
 
+    /** Guards against a request that is read to another end than its caller meant. */
+    @Test
+    fun `a request with a malformed chunk is rejected`() =
+        assertRejected(
+            listOf(
+                "zz\r\nabc\r\n",
+                "-1\r\nabc\r\n",
+                "0x3\r\nabc\r\n",
+                "\r\nabc\r\n",
+                " 3\r\nabc\r\n",
+                "3 4\r\nabc\r\n",
+                "3\r;x\r\nabc\r\n",
+                "3;x\ry\r\nabc\r\n",
+                "3\nabc\r\n",
+                "3;x\nabc\r\n",
+                "80000000\r\nabc\r\n",
+                "100000003\r\nabc\r\n",
+                "10000000000000003\r\nabc\r\n",
+                "3\r\nabcde\r\n",
+                "3\r\nabcXX",
+                "3\r\nabc",
+                "3\r\nabc\n",
+                "1\r\na\r\n3 4\r\nabc\r\n",
+            ).map { CHUNKED_HEAD + it + "0\r\n\r\n" } +
+                listOf("0\r\n", "0\r", "0").map { CHUNKED_HEAD + "3\r\nabc\r\n" + it },
+        )
+
+    /** Guards against a decoder whose result depends on where the network splits the bytes. */
+    @Test
+    fun `chunks are accepted and rejected alike if their bytes arrive one by one`() {
+        val chunks = "3;x=\"y z\" \r\nabc\r\n0000000000000000a\r\n0123456789\r\n0\r\nX: y\r\n\r\n"
+        assertEquals(listOf(OK, OK), statuses(CHUNKED_HEAD + chunks + CLOSE, oneByOne = true))
+        assertEquals(listOf("abc0123456789", ""), received.map { it.body.decodeToString() })
+        assertEquals(
+            listOf(OK, BAD_REQUEST),
+            statuses(CHUNKED_HEAD + chunks + CHUNKED_HEAD + "3 4\r\n", oneByOne = true),
+        )
+    }
+
     /** Guards against strictness that rejects what the standard allows. */
     @Test
     fun `requests that are legal though unusual are accepted`() {
@@ -120,6 +165,7 @@
     private companion object {
         const val OK = 200
         const val BAD_REQUEST = 400
+        const val CHUNKED_HEAD = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
         const val READ_TIMEOUT_MS = 5_000
         const val NEXT = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
         const val CLOSE = "GET /next HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
