A request whose path has bytes beyond visible ASCII is rejected

Seen in tests: such a request was handled. The decoder turns each byte into a character and the encoder writes the path as UTF-8, so its target gets other bytes than the caller sent; control characters were passed on. Cause: nothing checks the path between the decoder and the encoder; the standard allows no such byte there. Ruled out by test: several paths or versions in one line (`GET /a HTTP/1.1POST /b HTTP/1.1`): Netty rejects them. Values of fields keep their bytes. Change: 400 and close. Printable characters that the standard excludes ({, |) stay accepted, since they arrive unchanged. Conclusion: a target gets the path that the caller sent.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/RequestAmbiguity.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/RequestAmbiguity.kt
@@ -24,9 +24,12 @@
  * Host after it.
  */
 private fun ambiguityOfHead(request: HttpRequest): String? {
+    // Bytes beyond ASCII would reach a target in another encoding.
+    if (request.uri().any { it !in VISIBLE_ASCII }) return "bytes in the path that are not visible ASCII"
     if (request.headers().getAll(HttpHeaderNames.HOST).size > 1) return "several Host fields"
     val beforeHost = request.headers().takeWhile { !it.key.equals("Host", ignoreCase = true) }
     return "a request line within a field".takeIf { beforeHost.any { END_OF_REQUEST_LINE.containsMatchIn(it.value) } }
 }
 
+private val VISIBLE_ASCII = '!'..'~'
 private val END_OF_REQUEST_LINE = Regex("[A-Z]+ \\S+ HTTP/1\\.[01]$")
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/AmbiguousRequestsTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/AmbiguousRequestsTest.kt
@@ -145,6 +145,21 @@
         )
     }
 
+    /** Guards against a request whose path reaches its target with other bytes. */
+    @Test
+    fun `a request line that is malformed is rejected`() =
+        assertRejected(
+            listOf(
+                "GET /a HTTP/1.1POST /b HTTP/1.1",
+                "GET /a HTTP/1.1 POST /b HTTP/1.1",
+                "GET /a POST /b HTTP/1.1",
+                "GET /a\u0001b HTTP/1.1",
+                "GET /a\u007f HTTP/1.1",
+                "GET /caf\u00e9 HTTP/1.1",
+                "GET /a\u00a0b HTTP/1.1",
+            ).map { "$it\r\nHost: h\r\n\r\n" },
+        )
+
     /** Guards against strictness that rejects what the standard allows. */
     @Test
     fun `requests that are legal though unusual are accepted`() {
@@ -155,6 +170,7 @@
             "GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
             "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
             "\r\nGET /a HTTP/1.1\r\nhost:h\r\nX: caf\u00e9\r\n\r\n",
+            "GET /a%20b?c=[d]{e}|f HTTP/1.1\r\nHost: h\r\n\r\n",
             "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n",
         ).forEach { request ->
             assertEquals(listOf(OK, OK), statuses(request + CLOSE), "statuses of: $request")
