The response to a HEAD request has no body

Seen in a test: a HEAD request was answered with the body of the response (a refusal's text, the chunks of a stream), which its caller takes for the beginning of the next response on the connection. Cause: the encoder of responses doesn't know the method, and HttpExchange didn't look at it. Ruled out: Netty's HttpServerCodec, which does: in a trial, an interim 100 took the method of a request, and a POST with Expect that is followed by a HEAD got a response of length 4 without its body. Statuses 204, 205 and 304: the encoder leaves their bodies out (trial). Change: HttpExchange writes no body and no chunks then. Before: HeadRequestsTest failed ("body" before the next response). After: it passes, as do the other tests of guavashore-net (48 of 48). Conclusion: what follows a response on a connection is the next response.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpExchange.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpExchange.kt
@@ -37,6 +37,9 @@
     private var state = State.OPEN
     private var writable: CompletableDeferred<Unit>? = null
 
+    /** True if the response ends with its head; bytes of a body would be taken for the next response. */
+    private val endsWithHead = request.method == "HEAD"
+
     /** True once the response has begun. */
     val hasBegun: Boolean get() = state != State.OPEN
 
@@ -54,7 +57,7 @@
             DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(response.status),
-                Unpooled.wrappedBuffer(response.body),
+                if (endsWithHead) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(response.body),
                 headers,
                 EmptyHttpHeaders.INSTANCE,
             )
@@ -66,12 +69,13 @@
         check(state == State.OPEN) { "the response has already begun" }
         state = State.BEGUN
         val headers = headersOf(head.headers)
-        headers.set("Transfer-Encoding", "chunked")
+        if (!endsWithHead) headers.set("Transfer-Encoding", "chunked")
         context.write(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status), headers))
     }
 
     /** Sends [bytes]; suspends while the caller does not read fast enough. */
     suspend fun write(bytes: ByteArray) {
+        if (endsWithHead) return
         context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
         while (!context.channel().isWritable && context.channel().isActive) {
             writable = CompletableDeferred<Unit>().also { it.await() }
