--- a/guavashore-testing/src/main/kotlin/io/guavashore/testing/ScriptedServer.kt
+++ b/guavashore-testing/src/main/kotlin/io/guavashore/testing/ScriptedServer.kt
@@ -14,16 +14,21 @@
 /** Returns the bytes to send in response to a request, each element by a write of its own. */
 typealias Responder = (RequestHead) -> List<String>
 
-/** Responds to each request with the bytes that the connection's responder returns, then calls [after]. */
+/** Handles a request by writing to its connection; may also close it. */
+typealias RequestHandler = (RequestHead) -> Unit
+
+/** Passes each request to the handler of its connection. */
 class ScriptedServer private constructor(
-    private val responderOfConnection: () -> Responder,
-    private val after: (Socket) -> Unit,
+    private val handlerOfConnection: (Socket) -> RequestHandler,
 ) : AutoCloseable {
     /**
      * Responds to request n of a connection, counted from 0, with the bytes that [responseTo] returns for n, then calls
      * [after] with the connection.
      */
-    constructor(after: (Socket) -> Unit = {}, responseTo: (Int) -> String) : this({ numbered(responseTo) }, after)
+    constructor(
+        after: (Socket) -> Unit = {},
+        responseTo: (Int) -> String,
+    ) : this({ socket -> writing(socket, numbered(responseTo), after) })
 
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
 
@@ -51,14 +56,13 @@
     private fun serve(socket: Socket) {
         socket.tcpNoDelay = true
         val input = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
-        val responder = responderOfConnection()
+        val handle = handlerOfConnection(socket)
         var number = 0
         while (true) {
             val head = readRequest(input) ?: return
             requests += head.requestLine
             requestNumbers += number++
-            responder(head).forEach { socket.getOutputStream().write(it.encodeToByteArray()) }
-            after(socket)
+            handle(head)
         }
     }
 
@@ -79,7 +83,21 @@
         private const val BACKLOG = 50
 
         /** Server with a responder of its own for each connection. */
-        fun withResponders(responderOfConnection: () -> Responder) = ScriptedServer(responderOfConnection, after = {})
+        fun withResponders(responderOfConnection: () -> Responder) =
+            withHandlers { socket -> writing(socket, responderOfConnection()) }
+
+        /** Server with a handler of its own for each connection. */
+        fun withHandlers(handlerOfConnection: (Socket) -> RequestHandler) = ScriptedServer(handlerOfConnection)
+
+        private fun writing(
+            socket: Socket,
+            responder: Responder,
+            after: (Socket) -> Unit = {},
+        ): RequestHandler =
+            { head ->
+                responder(head).forEach { socket.getOutputStream().write(it.encodeToByteArray()) }
+                after(socket)
+            }
 
         private fun numbered(responseTo: (Int) -> String): Responder {
             var number = 0
