--- a/guavashore-testing/src/main/kotlin/io/guavashore/testing/ScriptedServer.kt
+++ b/guavashore-testing/src/main/kotlin/io/guavashore/testing/ScriptedServer.kt
@@ -11,7 +11,10 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 
-/** Returns the bytes to send in response to a request, each element by a write of its own. */
+/**
+ * Returns the bytes to send in response to a request, each element by a write of its own; after [ScriptedServer.CLOSE]
+ * the connection is closed.
+ */
 typealias Responder = (RequestHead) -> List<String>
 
 /** Handles a request by writing to its connection; may also close it. */
@@ -28,7 +31,7 @@
     constructor(
         after: (Socket) -> Unit = {},
         responseTo: (Int) -> String,
-    ) : this({ socket -> writing(socket, numbered(responseTo), after) })
+    ) : this({ socket -> writing(socket, numbered(responseTo), after = after) })
 
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
 
@@ -80,11 +83,15 @@
     }
 
     companion object {
+        /** In place of bytes to send, closes the connection. */
+        const val CLOSE = ""
         private const val BACKLOG = 50
 
-        /** Server with a responder of its own for each connection. */
-        fun withResponders(responderOfConnection: () -> Responder) =
-            withHandlers { socket -> writing(socket, responderOfConnection()) }
+        /** Server with a responder of its own for each connection, which waits [pauseMs] between two writes. */
+        fun withResponders(
+            responderOfConnection: () -> Responder,
+            pauseMs: Long = 0,
+        ) = withHandlers { socket -> writing(socket, responderOfConnection(), pauseMs) }
 
         /** Server with a handler of its own for each connection. */
         fun withHandlers(handlerOfConnection: (Socket) -> RequestHandler) = ScriptedServer(handlerOfConnection)
@@ -92,10 +99,14 @@
         private fun writing(
             socket: Socket,
             responder: Responder,
+            pauseMs: Long = 0,
             after: (Socket) -> Unit = {},
         ): RequestHandler =
             { head ->
-                responder(head).forEach { socket.getOutputStream().write(it.encodeToByteArray()) }
+                responder(head).forEachIndexed { index, bytes ->
+                    if (index > 0) Thread.sleep(pauseMs)
+                    if (bytes == CLOSE) socket.close() else socket.getOutputStream().write(bytes.encodeToByteArray())
+                }
                 after(socket)
             }
 
