KNOWN-RED: responses that break off are joined with the next by Ktor's client

Seen in tests of their own: a 503 of an engine that breaks off in its status line before a 200 counts as refused, so a generation that ran is run again; a 200 before a 503 counts as healthy; a 202 before a 500 counts as an accepted order. A connection for each attempt doesn't help against the target's own bytes. By reading: frames between VMs and ControlClient can't join two, as a connection that fails within a frame is closed. The remedy is guavashore-net's client (as HttpPlainClient), which is not small for streams of lines. Not tested: HttpPlatform, which decodes the bodies of its successes, so that most splices count as no response.

--- /dev/null
+++ b/guavashore-steward/src/test/kotlin/io/guavashore/steward/EngineControlTest.kt
@@ -0,0 +1,46 @@
+package io.guavashore.steward
+
+import io.guavashore.api.FencingNumber
+import io.guavashore.api.PoolId
+import io.guavashore.api.Target
+import io.guavashore.api.TargetId
+import io.guavashore.api.TargetKind
+import io.guavashore.api.TargetStage
+import io.guavashore.api.TeamId
+import io.guavashore.api.WeightVersion
+import io.guavashore.api.ZoneId
+import io.guavashore.testing.ScriptedServer
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import kotlin.test.Test
+import kotlin.test.assertFalse
+
+class EngineControlTest {
+    private val client = HttpClient(CIO) { expectSuccess = false }
+    private val control = HttpEngineControl(client, timeoutMs = 2_000).control
+
+    @AfterEach
+    fun close() = client.close()
+
+    /** Guards against an engine that is believed to load a version although it rejected the order. */
+    @Test
+    fun `an order whose success breaks off and is followed by a failure is not taken for accepted`() {
+        val joined = "HTTP/1.1 202 Accepted" + "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+        ScriptedServer { joined }.use {
+            val engine =
+                Target(
+                    id = TargetId("t"),
+                    team = TeamId("t"),
+                    pool = PoolId("p"),
+                    kind = TargetKind.MODEL,
+                    zone = ZoneId("a"),
+                    endpoint = it.endpoint,
+                    slots = 1,
+                    stage = TargetStage.SERVING,
+                )
+            assertFalse(runBlocking { control.load(engine, WeightVersion(2), FencingNumber(1)) })
+        }
+    }
+}
