A response with a transfer coding other than chunked is incomplete

Seen in tests: a response with chunked twice, `gzip, chunked`, `chunked, gzip`, or any coding in HTTP/1.0 was passed on as whole, with the coded bytes as its body and without the field; one with `gzip` or an unknown coding ended with its connection or its Content-Length. Cause: as for requests, Netty's decoder looks only for chunked among the codings. Ruled out by test: several lengths or a list of lengths: Netty rejects them. Not covered: Content-Length beside one chunked in HTTP/1.1. Netty drops the length before HttpClientCodec passes the head on, and its decoder can't be replaced; such a response is read by its chunks. Change: HttpConnection applies ambiguityOfLength to heads: one line in channelRead. Before: AmbiguousResponseLengthsTest failed. Conclusion: a body is passed on only if its end and its bytes are those that the target meant.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/RequestAmbiguity.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HeadAmbiguity.kt
@@ -1,21 +1,23 @@
 /*
- * Checks of a request's head for what another recipient could split into requests differently. Netty's decoder reads
- * codings that it does not know as a missing body, and takes any text as the value of a field.
+ * Checks of a head for what another recipient could split into messages differently. Netty's decoder reads codings that
+ * it does not know as no coding, and takes any text as the value of a field.
  */
 package io.guavashore.net
 
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpVersion
 
 /** Returns why [request] could be read differently by another recipient, or null. */
 internal fun ambiguityOf(request: HttpRequest): String? = ambiguityOfLength(request) ?: ambiguityOfHead(request)
 
-private fun ambiguityOfLength(request: HttpRequest): String? {
-    val codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+/** Returns why another recipient could find the end of [message] elsewhere, or null. */
+internal fun ambiguityOfLength(message: HttpMessage): String? {
+    val codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
     if (codings.isEmpty()) return null
     if (!codings.singleOrNull().equals("chunked", ignoreCase = true)) return "Transfer-Encoding other than chunked"
-    if (request.protocolVersion() != HttpVersion.HTTP_1_1) return "Transfer-Encoding in a request of HTTP/1.0"
+    if (message.protocolVersion() != HttpVersion.HTTP_1_1) return "Transfer-Encoding in a message of HTTP/1.0"
     return null
 }
 
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -256,6 +256,7 @@
         }
         if (msg is HttpContent) onBytesReceived(msg.content().readableBytes())
         if (msg is HttpResponse) {
+            ambiguityOfLength(msg)?.let { return closeWith("invalid response: $it") }
             isInterim = msg.status().code() < FIRST_FINAL_STATUS
             if (isInterim && ++interimResponses > MAX_INTERIM_RESPONSES) return closeWith("too many interim responses")
         }
