--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/targets/ConnectionPoolTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/targets/ConnectionPoolTest.kt
@@ -20,7 +20,7 @@
 internal class ConnectionPoolTest {
     private val loop = ProcessLoop { it.printStackTrace() }
     private val idsByConnection = CopyOnWriteArrayList<CopyOnWriteArrayList<String>>()
-    private val server = ScriptedServer.withResponders(::responder)
+    private val server = ScriptedServer.withResponders(responderOfConnection = ::responder)
     private val opened = ArrayList<OpenReason>()
     private val pool = ConnectionPool<String>(HttpDialer(loop)::connect, onOpen = { opened += it })
     private val request = HttpRequestMessage("GET", "/p", Headers.of("Host" to "h"))
--- a/guavashore-testing/src/main/kotlin/io/guavashore/testing/ScriptedServer.kt
+++ b/guavashore-testing/src/main/kotlin/io/guavashore/testing/ScriptedServer.kt
@@ -84,13 +84,13 @@
 
     companion object {
         /** In place of bytes to send, closes the connection. */
-        const val CLOSE = ""
+        const val CLOSE = "\u0000close"
         private const val BACKLOG = 50
 
         /** Server with a responder of its own for each connection, which waits [pauseMs] between two writes. */
         fun withResponders(
-            responderOfConnection: () -> Responder,
             pauseMs: Long = 0,
+            responderOfConnection: () -> Responder,
         ) = withHandlers { socket -> writing(socket, responderOfConnection(), pauseMs) }
 
         /** Server with a handler of its own for each connection. */
