The outcome of a refusal or failure that breaks off is not taken from its head

Seen in tests: an unsafe request got 503 with a time to come back although it ran: the target's refusal broke off within its body, and a whole 200 followed on the connection. With two targets the request was sent again. An item ended as impossible, or counted as not run, in the same way. Cause: HttpConnection.discardBody swallowed the failure of the body, so that the outcome came from the head alone; the boundary of responses was found, logged, and not acted on. Ruled out: the boundary itself; the connection was closed with 'another response begins within it'. Change: refusals and failures are read with readBody, which fails, at the forwarder, the relay, items and scores; discardBody is gone. Conclusion: a promise is made only on a response that has ended.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -110,7 +110,8 @@
         metadata: ResponseMetadata,
         connection: HttpConnection,
     ): RunOutcome {
-        withTimeoutOrNull(FIRST_RESPONSE_TIMEOUT_MS) { connection.discardBody(MAX_ERROR_BYTES) }
+        withTimeoutOrNull(FIRST_RESPONSE_TIMEOUT_MS) { connection.readBody(MAX_ERROR_BYTES) }
+            ?: return RunOutcome.Broken("response with status ${head.status} did not end in time")
         return when {
             metadata.notRun || head.status == MISDIRECTED ->
                 RunOutcome.NotRun("status ${head.status}", wasOffered = true)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
@@ -96,7 +96,7 @@
         val (head, metadata) = response
         metadata.load?.let { onLoadReported(target, it) }
         if (metadata.notRun || head.status == MISDIRECTED) {
-            connection.discardBody(MAX_ERROR_BYTES)
+            connection.readBody(MAX_ERROR_BYTES)
             return ScoreOutcome.NotRun("status ${head.status}", wasOffered = true)
         }
         if (metadata.isGenuine && metadata.rate == RateStatement.Unlimited) {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -290,7 +290,7 @@
         status: Int,
         connection: HttpConnection,
     ): AttemptOutcome {
-        connection.discardBody(MAX_ERROR_BYTES)
+        connection.readBody(MAX_ERROR_BYTES)
         if (status == MISDIRECTED) directory.recordFailure(target.id)
         return AttemptOutcome.NOT_RUN
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/PeerRelay.kt
@@ -120,7 +120,7 @@
         head: ResponseHead,
         connection: HttpConnection,
     ): Result {
-        connection.discardBody(MAX_ERROR_BYTES)
+        connection.readBody(MAX_ERROR_BYTES)
         log.info { "relayed request refused: request=${call.metadata.requestId} status=${head.status}" }
         val mayHaveRun = head.status >= FIRST_SERVER_ERROR_STATUS && head.status != UNAVAILABLE
         if (!mayHaveRun) return Result(AttemptOutcome.NOT_RUN)
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -3,7 +3,6 @@
  */
 package io.guavashore.net
 
-import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
@@ -27,8 +26,6 @@
 import java.io.IOException
 import kotlinx.coroutines.channels.Channel as CoroutineChannel
 
-private val log = KotlinLogging.logger {}
-
 /** Status and header fields of a server's response; the body is read with [HttpConnection.nextPart]. */
 class ResponseHead(
     val status: Int,
@@ -211,18 +208,6 @@
         }
     }
 
-    /**
-     * Reads and discards the rest of the body, so that the connection can be reused. Closes the connection if the body
-     * is longer than [maxBytes] or incomplete.
-     */
-    suspend fun discardBody(maxBytes: Int) {
-        try {
-            readBody(maxBytes)
-        } catch (e: ExchangeFailure) {
-            log.info { "connection closed: ${e.message}" }
-        }
-    }
-
     /** Closes the connection and discards the unread part of the response; the server aborts a running request. */
     fun close() {
         closeWith("closed locally")
