--- a/guavashore-net/src/test/kotlin/io/guavashore/net/JoinedResponsesTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/JoinedResponsesTest.kt
@@ -43,6 +43,20 @@
     fun `responses that arrive byte by byte`() =
         checkAll(everyNth = BYTEWISE_NTH) { prefix, due -> (prefix + due).chunked(1) }
 
+    /** Guards against a second response that isn't recognised though the decoder accepts it. */
+    @Test
+    fun `a response of an unusual form after one that was broken off`() {
+        val fields = "Request-Id: b\r\nContent-Length: 7\r\n\r\nfailure"
+        UNUSUAL_STATUS_LINES.forEach { line ->
+            val second = "$line\r\n$fields"
+            val whole = receive(listOf(second))
+            brokenOff.forEach { first ->
+                val received = (1 until first.length step UNUSUAL_NTH).map { receive(listOf(first.take(it) + second)) }
+                assertEquals(emptyList(), received.filter { it != null && it != whole }, line.take(SHOWN_CHARS))
+            }
+        }
+    }
+
     private fun checkAll(
         everyNth: Int = 1,
         arrival: Arrival,
@@ -113,6 +127,21 @@
         const val HEX = 16
         const val BYTEWISE_NTH = 7
         const val SHOWN = 3
+        const val SHOWN_CHARS = 40
+        const val UNUSUAL_NTH = 5
+        val UNUSUAL_STATUS_LINES =
+            listOf(
+                "HTTP/1.1  500 Failed",
+                "HTTP/1.1\t500 Failed",
+                "HTTP/1.0 500",
+                "HTTP/1.2 500 Failed",
+                "HTTP/2.0 500 Failed",
+                "HTTP/1.1 +500 Failed",
+                "HTTP/1.1 0500 Failed",
+                "HTTP/1.1 500 ${"f".repeat(600)}",
+                "HTTP/1.1 500 Fai\u0001led",
+                "HTTP/1.1 500 Failed\r\n${"n".repeat(600)}: 1",
+            )
 
         /** Pause between two reads; the two segments of one write are less apart. */
         const val PAUSE_MS = 10L
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/ResponseBoundaryHandlerTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/ResponseBoundaryHandlerTest.kt
@@ -46,6 +46,23 @@
         assertEquals(received(quoted), exchange(response(quoted)))
     }
 
+    /** Guards against a stream that is broken off since its text quotes a status line. */
+    @Test
+    fun `an event stream that quotes a status line is received whole`() {
+        val events = "id: 1\r\ndata: HTTP/1.1 200 OK\r\ndata: text\r\n\r\ndata: HTTP/1.1 200 OK\n\n"
+        assertEquals(received(events), exchange(response(events)))
+    }
+
+    /** Guards against bytes after a response that are taken for the beginning of the next one. */
+    @Test
+    fun `bytes that follow a response are never part of the next one`() =
+        listOf("HTTP/1.1 200 O", "HTTP/2.0 200 O", "junk").forEach { rest ->
+            EmbeddedConnection().use {
+                assertEquals(received("text"), it.exchange(response("text") + rest))
+                assertNull(it.exchange(START_OF_RESPONSE), rest)
+            }
+        }
+
     /** Such a body can't be told from one that the server broke off before another response. */
     @Test
     fun `a body that holds a response is not received`() =
