A first field that begins like one of an event stream is recognised though a read ends within its name

Seen in the read-through: a second response whose first field is, say, retry-after in lower case was not recognised if a read ended after retry: the name of an event stream's field was compared before it was known to be whole. Ruled out: reads that end elsewhere in the name, or not in it. Change: such a start is possible, not excluded, until the colon has arrived. Before: the new test failed (retry-after, split at 26: a success with the text of the failure). Conclusion: a start is excluded only by bytes that have arrived.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/ResponseStart.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/ResponseStart.kt
@@ -63,9 +63,9 @@
             val name = buffer.toString(index, minOf(next - index, MAX_EVENT_FIELD_CHARS), Charsets.US_ASCII)
             while (next < end && isSpace(buffer.getByte(next).toInt())) next++
             return when {
-                next - index > MAX_LINE_BYTES || name in EVENT_FIELDS -> Match.NO
+                next - index > MAX_LINE_BYTES -> Match.NO
                 next == end -> Match.POSSIBLE
-                buffer.getByte(next) == COLON -> Match.YES
+                buffer.getByte(next) == COLON && name !in EVENT_FIELDS -> Match.YES
                 else -> Match.NO
             }
         }
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/ResponseBoundaryHandlerTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/ResponseBoundaryHandlerTest.kt
@@ -87,6 +87,17 @@
     fun `a response that begins slowly within another one is recognised`() =
         assertNeverComplete(LONG_PAUSE_MS) { "HTTP/1.1 200 OK\r\nContent-Length: 80\r\n\r\nbroken off" }
 
+    /** Guards against a header field that is taken for one of an event stream, since a read ends within its name. */
+    @Test
+    fun `a response whose first field begins like one of an event stream is recognised wherever its reads are split`() =
+        listOf("retry-after", "identity", "data-length", "event-time").forEach { name ->
+            val other = "HTTP/1.1 500 Failed\r\n$name: 1\r\n\r\n" + "x".repeat(FILLING_BYTES)
+            other.indices.drop(1).forEach { split ->
+                val brokenOff = "HTTP/1.1 200 OK\r\nContent-Length: 80\r\n\r\nbroken off"
+                assertNull(exchange(brokenOff + other.take(split), other.drop(split)), "$name, split at $split")
+            }
+        }
+
     /** Sends what [brokenOff] returns for a number of bytes, then so many bytes of another response, then its rest. */
     private fun assertNeverComplete(
         pauseMs: Long,
