--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeSettings.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeSettings.kt
@@ -17,7 +17,7 @@
  * @property relay address that accepts requests that other VMs relay; null if there is none
  * @property metrics address that serves the metrics, or null if they are not served
  * @property knownPeers addresses of some other VMs, to which this VM connects first; may be outdated
- * @property capacity CPU share of this VM; the coordinator is preferably a VM with a large one
+ * @property capacity processor time that this VM has, in cores; the coordinator is preferably a VM with a large one
  * @property stopGraceMs time between the stop signal and the kill signal
  * @property usageWindowMs length of a usage window
  */
