Unchanged heartbeats are repeated in a few bytes, and live peers are indexed

Cause: for each heartbeat, 50 a second received and sent at 72 idle VMs, a VM scanned its links several times: to choose the VMs that are sent usage (41 % of the samples of a profile, inclusive), for alive() (31 %), the median of the clocks (7 %), the rank among watchers (5 %). Each heartbeat was also encoded and decoded in full (9 %). Ruled out: encoding as the main cost. Change: live peers are indexed by VM until a link opens, closes or expires or its heartbeat changes other than in time; what follows from them is kept as long. A heartbeat that has been sent on the same connection is repeated by its time only, to VMs that state that they accept it; the receiver handles it like the full one. Gauges of peers alive, messages and bytes received, and the declaration's version. Intervals and times until a loss is known are unchanged.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/CatalogSync.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/catalog/CatalogSync.kt
@@ -49,6 +49,10 @@
     /** Cache of the hashes that order VMs for watching; looked up for every peer several times a second. */
     private val watchHashes = HashMap<VmId, Long>()
 
+    /** Peers for which [rank] was last computed, and its result. */
+    private var rankedPeers: List<Heartbeat>? = null
+    private var lastRank = 0
+
     /** True while the store is unavailable and shortly afterwards, when live targets may lack an entry. */
     fun storeRecentlyUnavailable(): Boolean = clock() < unavailableUntilMs
 
@@ -106,8 +110,12 @@
 
     /** Number of VMs that take precedence over this one in watching the store. */
     private fun rank(): Int {
+        val peers = alivePeers()
+        if (peers === rankedPeers) return lastRank
         val own = watchHash(ownVm)
-        return alivePeers().count { it.storeReachable && !it.stopping && watchHash(it.vmRecord.vm) < own }
+        lastRank = peers.count { it.storeReachable && !it.stopping && watchHash(it.vmRecord.vm) < own }
+        rankedPeers = peers
+        return lastRank
     }
 
     private fun watchHash(vm: VmId) = watchHashes.getOrPut(vm) { stableHash("watch/$vm") }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
@@ -66,6 +66,10 @@
     private var vacantSinceMs = clock()
     private val succession = Succession()
 
+    /** Peers and coordinator for which [usageReporters] was last computed, and its result. */
+    private var reportersOf: Pair<List<Heartbeat>, VmId?>? = null
+    private var lastReporters = emptySet<VmId>()
+
     /** Grant for orders and reports if this VM holds the lease now, else null. */
     fun leaseGrant(): LeaseGrant? {
         if (suspensionDetector.hasClockJumped()) {
@@ -185,8 +189,15 @@
     fun standbys(): List<VmId> = succession.standbys(candidates(), vmRecord.zone)
 
     /** VMs that report usage now, or would after the loss of a VM or of an availability zone. */
-    fun usageReporters(): Set<VmId> =
-        (succession.potentialCoordinators(candidates() + vmRecord) + listOfNotNull(current())).toSet()
+    fun usageReporters(): Set<VmId> {
+        val peers = alivePeers()
+        val holder = current()
+        val known = reportersOf
+        if (known != null && known.first === peers && known.second == holder) return lastReporters
+        lastReporters = (succession.potentialCoordinators(candidates() + vmRecord) + listOfNotNull(holder)).toSet()
+        reportersOf = peers to holder
+        return lastReporters
+    }
 
     /** Peers that could take over; those that reach no target only if none does. */
     private fun candidates() = peersWithTargets().ifEmpty { alivePeers().filterNot { it.stopping } }.map { it.vmRecord }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/MedianClock.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/MedianClock.kt
@@ -23,22 +23,45 @@
 
     private val peerOffsets = HashMap<VmId, PeerOffset>()
 
+    /** Median of the offsets when it was last computed; kept while none of them has changed or become outdated. */
+    private var medianMs = 0L
+    private var medianOwnMs = 0L
+    private var medianUntilMs = 0L
+    private var hasChanged = true
+
     /** Records the wall-clock time [wallMs] from a heartbeat of [vm], in Unix milliseconds. */
     fun onHeartbeat(
         vm: VmId,
         wallMs: Long,
     ) {
-        peerOffsets[vm] = PeerOffset(wallMs - clock(), clock())
+        val offset = PeerOffset(wallMs - clock(), clock())
+        if (peerOffsets.put(vm, offset)?.offsetMs != offset.offsetMs) hasChanged = true
     }
 
     /** Median time, in milliseconds since the Unix epoch. */
     fun nowMs(): Long {
         val now = clock()
+        val ownMs = wallClock() - now
+        if (hasChanged || ownMs != medianOwnMs || now > medianUntilMs) updateMedian(now, ownMs)
+        return now + medianMs
+    }
+
+    private fun updateMedian(
+        now: Long,
+        ownMs: Long,
+    ) {
         peerOffsets.values.removeIf { now - it.atMs > MAX_OFFSET_AGE_MS }
-        val offsets = peerOffsets.values.mapTo(ArrayList()) { it.offsetMs }
-        offsets += wallClock() - now
+        val offsets = LongArray(peerOffsets.size + 1) { ownMs }
+        var oldestMs = now
+        peerOffsets.values.forEachIndexed { index, offset ->
+            offsets[index] = offset.offsetMs
+            oldestMs = minOf(oldestMs, offset.atMs)
+        }
         offsets.sort()
-        return now + offsets[offsets.size / 2]
+        medianMs = offsets[offsets.size / 2]
+        medianOwnMs = ownMs
+        medianUntilMs = oldestMs + MAX_OFFSET_AGE_MS
+        hasChanged = false
     }
 
     private companion object {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerLink.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerLink.kt
@@ -7,28 +7,42 @@
 import io.guavashore.api.MonotonicClock
 import io.guavashore.net.ExchangeFailure
 import io.guavashore.net.FrameConnection
-import io.guavashore.net.FrameHandler
 import io.guavashore.net.ProcessLoop
 import io.guavashore.net.connectFrames
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Connection to the peer at [endpoint]; reconnected by the mesh. Not thread-safe. */
+/** Handles a frame that the peer of [link] has sent on [connection]. */
+internal typealias LinkFrameHandler = (link: PeerLink, connection: FrameConnection, frame: ByteArray) -> Unit
+
+/**
+ * Connection to the peer at [endpoint]; reconnected by the mesh. Not thread-safe.
+ *
+ * @param onChange called when the link has closed or come alive, or its heartbeat has changed
+ */
 internal class PeerLink(
     private val endpoint: Endpoint,
     private val loop: ProcessLoop,
     private val clock: MonotonicClock,
     private val timing: MeshTiming,
-    private val onFrame: FrameHandler,
+    private val onFrame: LinkFrameHandler,
+    private val onChange: () -> Unit,
 ) {
     private var connection: FrameConnection? = null
     private var sequence = 0L
-    private var aliveUntilMs = 0L
     private val pingSentAtMs = HashMap<Long, Long>()
     private var livenessMs = 0L
     private val calls = HashMap<Long, CompletableDeferred<PeerReply>>()
 
-    /** Last heartbeat received from the peer; null before the first. */
+    /** Heartbeats on the present connection. */
+    var exchange = HeartbeatExchange()
+        private set
+
+    /** Monotonic time until which the peer counts as alive, as long as the connection is open. */
+    var aliveUntilMs = 0L
+        private set
+
+    /** Heartbeat that the peer sent when its state last changed; null before the first. */
     var heartbeat: Heartbeat? = null
         private set
 
@@ -36,14 +50,14 @@
 
     val isOpen: Boolean get() = connection?.isOpen == true
 
-    fun usesConnection(candidate: FrameConnection) = connection === candidate
-
     fun isAlive() = isOpen && clock() < aliveUntilMs
 
     suspend fun connect(): Boolean =
         try {
             pingSentAtMs.clear()
-            connection = connectFrames(loop, endpoint, timing.connectTimeoutMs, onFrame, ::onClose)
+            exchange = HeartbeatExchange()
+            val handler = { connection: FrameConnection, frame: ByteArray -> onFrame(this, connection, frame) }
+            connection = connectFrames(loop, endpoint, timing.connectTimeoutMs, handler, ::onClose)
             true
         } catch (e: ExchangeFailure.NotConnected) {
             // Expected while the peer is down; the mesh dials again after its redial interval, so this is not logged.
@@ -63,20 +77,31 @@
         if (oldestMs != null && clock() - oldestMs > livenessMs) return false
         val number = ++sequence
         pingSentAtMs[number] = clock()
-        send(PeerMesh.encode(PeerMessage.Ping(number, heartbeat)))
+        exchange.send(
+            heartbeat,
+            full = { PeerMessage.Ping(number, heartbeat) },
+            repeated = { PeerMessage.RepeatedPing(number, heartbeat.wallMs) },
+            send = { send(PeerMesh.encode(it)) },
+        )
         return true
     }
 
-    fun onPong(pong: PeerMessage.Pong) {
-        val sentMs = pingSentAtMs[pong.sequence] ?: return
-        pingSentAtMs.keys.removeIf { it <= pong.sequence }
-        heartbeat = pong.heartbeat
+    /** Handles the pong to ping [number], with the heartbeat [received]. */
+    fun onPong(
+        number: Long,
+        received: Heartbeat,
+    ) {
+        val sentMs = pingSentAtMs[number] ?: return
+        pingSentAtMs.keys.removeIf { it <= number }
+        val wasAlive = isAlive()
+        val isUnchanged = heartbeat?.isSameState(received) == true
+        if (!isUnchanged) heartbeat = received
         aliveUntilMs = sentMs + livenessMs
+        if (!wasAlive || !isUnchanged) onChange()
     }
 
-    fun send(frame: ByteArray) {
-        connection?.send(frame)
-    }
+    /** Sends [frame]; returns false if the connection is closed or the peer does not keep up with reading. */
+    fun send(frame: ByteArray): Boolean = connection?.send(frame) == true
 
     /** Calls the peer; null if no reply arrives within [timeoutMs], [PeerReply.NotHere] if the connection closes. */
     suspend fun call(
@@ -101,11 +126,13 @@
     fun close() {
         connection?.close()
         connection = null
+        onChange()
     }
 
     private fun onClose(closed: FrameConnection) {
         if (connection === closed) connection = null
         aliveUntilMs = 0
+        onChange()
         calls.values.forEach { it.complete(PeerReply.NotHere) }
     }
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
@@ -72,16 +72,29 @@
     private val timing: MeshTiming = MeshTiming(),
 ) {
     private val links = HashMap<String, PeerLink>()
+    private val live = LivePeers(links::values, clock)
+
+    /** Heartbeats on the connections that peers have opened. */
+    private val accepted = HashMap<FrameConnection, HeartbeatExchange>()
+
+    /** Messages that peers have sent to this VM, and their bytes. */
+    var receivedMessages = 0L
+        private set
+    var receivedBytes = 0L
+        private set
 
     /** Accepts connections from peers at [endpoint]; returns the bound address. */
-    suspend fun listen(endpoint: Endpoint): Endpoint = listenFrames(loop, endpoint, ::onFrame)
+    suspend fun listen(endpoint: Endpoint): Endpoint =
+        listenFrames(loop, endpoint, onClose = { accepted.remove(it) }) { connection, frame ->
+            onFrame(link = null, connection, frame)
+        }
 
     /** Adds the VM at [address], unless it is known, and keeps a connection to it until [removePeer]. */
     fun addPeer(address: String) {
         if (address == ownRecord.address || address in links) return
         val endpoint =
             Endpoint.parseOrNull(address) ?: return log.warn { "peer ignored, address is not IP:PORT: $address" }
-        val link = PeerLink(endpoint, loop, clock, timing, ::onFrame)
+        val link = PeerLink(endpoint, loop, clock, timing, ::onFrame, live::onChange)
         links[address] = link
         loop.scope.launch { keepConnected(link) }
     }
@@ -91,19 +104,15 @@
         links.remove(address)?.close()
     }
 
-    /** Last heartbeats of the peers that are alive now. */
-    fun alive(): List<Heartbeat> =
-        links.values
-            .filter { it.isAlive() }
-            .mapNotNull { it.heartbeat }
-            .distinctBy { it.vmRecord.vm }
+    /** Heartbeats of the peers that are alive now, as of their last change; the same list until one changes. */
+    fun alive(): List<Heartbeat> = live.heartbeats()
 
     /** Calls [vm]; null if it is not alive or does not reply within [timeoutMs]. */
     suspend fun call(
         vm: VmId,
         call: PeerCall,
         timeoutMs: Long,
-    ): PeerReply? = linkTo(vm)?.call(call, timeoutMs)
+    ): PeerReply? = live[vm]?.call(call, timeoutMs)
 
     /** Sends [message] to all live peers. */
     fun broadcast(message: PeerMessage) {
@@ -116,7 +125,7 @@
         vm: VmId,
         message: PeerMessage,
     ) {
-        linkTo(vm)?.send(encode(message))
+        live[vm]?.send(encode(message))
     }
 
     /** Sends heartbeats to all peers immediately, without waiting for the next ping. */
@@ -125,13 +134,6 @@
         links.values.forEach { it.ping(events.heartbeat(it.heartbeat?.vmRecord?.vm), livenessMs) }
     }
 
-    /** Connection to [vm]; null unless [vm] is alive. */
-    private fun linkTo(vm: VmId): PeerLink? =
-        links.values.firstOrNull {
-            it.isAlive() &&
-                it.heartbeat?.vmRecord?.vm == vm
-        }
-
     private suspend fun keepConnected(link: PeerLink) {
         while (links[link.address] === link) {
             if (link.connect()) pingWhileOpen(link)
@@ -153,33 +155,84 @@
         return if (events.needsFastFailureDetection()) timing.pingIntervalMs else maxOf(timing.pingIntervalMs, spacedMs)
     }
 
+    /** Handles a message received on [connection]; [link] is null if the peer opened the connection. */
     private fun onFrame(
+        link: PeerLink?,
         connection: FrameConnection,
         frame: ByteArray,
     ) {
+        receivedMessages++
+        receivedBytes += frame.size
         when (val message = decode(frame) ?: return connection.close()) {
             is PeerMessage.Ping -> {
-                events.onHeartbeat(message.heartbeat)
-                connection.send(
-                    encode(PeerMessage.Pong(message.sequence, events.heartbeat(message.heartbeat.vmRecord.vm))),
-                )
-                addPeer(message.heartbeat.vmRecord.address)
+                exchangeOn(connection, link).onFull(message.heartbeat)
+                onPing(message.sequence, message.heartbeat, link, connection)
             }
+            is PeerMessage.RepeatedPing ->
+                onPing(message.sequence, repeated(message.wallMs, connection, link), link, connection)
             is PeerMessage.Pong -> {
-                linkOf(connection)?.onPong(message)
-                addPeer(message.heartbeat.vmRecord.address)
-                events.onHeartbeat(message.heartbeat)
+                exchangeOn(connection, link).onFull(message.heartbeat)
+                onPong(message.sequence, message.heartbeat, link)
             }
+            is PeerMessage.RepeatedPong ->
+                onPong(message.sequence, repeated(message.wallMs, connection, link), link)
             is PeerMessage.CollectionChanges -> events.onCollectionChanges(message)
             is PeerMessage.ChangesRequest -> connection.send(encode(events.onChangesRequest(message)))
             is PeerMessage.PartialTexts -> events.onPartialTexts(message)
             is PeerMessage.TargetLeaving -> events.onTargetLeaving(message)
             is PeerMessage.RateLimits -> events.onRateLimits(message.limits)
             is PeerMessage.Call -> loop.scope.launch { handleCall(connection, message) }
-            is PeerMessage.Reply -> linkOf(connection)?.onReply(message)
+            is PeerMessage.Reply -> link?.onReply(message)
         }
     }
 
+    private fun onPing(
+        sequence: Long,
+        received: Heartbeat?,
+        link: PeerLink?,
+        connection: FrameConnection,
+    ) {
+        if (received == null) return
+        events.onHeartbeat(received)
+        val own = events.heartbeat(received.vmRecord.vm)
+        exchangeOn(connection, link).send(
+            own,
+            full = { PeerMessage.Pong(sequence, own) },
+            repeated = { PeerMessage.RepeatedPong(sequence, own.wallMs) },
+            send = { connection.send(encode(it)) },
+        )
+        addPeer(received.vmRecord.address)
+    }
+
+    private fun onPong(
+        sequence: Long,
+        received: Heartbeat?,
+        link: PeerLink?,
+    ) {
+        if (received == null) return
+        link?.onPong(sequence, received)
+        addPeer(received.vmRecord.address)
+        events.onHeartbeat(received)
+    }
+
+    /** The heartbeat that a peer repeats; closes the connection and returns null if the peer has not sent it. */
+    private fun repeated(
+        wallMs: Long,
+        connection: FrameConnection,
+        link: PeerLink?,
+    ): Heartbeat? {
+        val heartbeat = exchangeOn(connection, link).onRepeated(wallMs)
+        if (heartbeat != null) return heartbeat
+        log.warn { "a peer repeats a heartbeat that it has not sent, closing the connection" }
+        connection.close()
+        return null
+    }
+
+    private fun exchangeOn(
+        connection: FrameConnection,
+        link: PeerLink?,
+    ): HeartbeatExchange = link?.exchange ?: accepted.getOrPut(connection) { HeartbeatExchange() }
+
     private suspend fun handleCall(
         connection: FrameConnection,
         call: PeerMessage.Call,
@@ -188,9 +241,6 @@
         connection.send(encode(PeerMessage.Reply(call.id, reply)))
     }
 
-    /** Link that uses [connection]; null if a peer opened it or it has been replaced. */
-    private fun linkOf(connection: FrameConnection) = links.values.firstOrNull { it.usesConnection(connection) }
-
     private fun decode(frame: ByteArray): PeerMessage? =
         try {
             cbor.decodeFromByteArray<PeerMessage>(frame)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
@@ -30,7 +30,7 @@
  *
  * @property incarnation number of the process start; a restarted process has a higher one
  * @property address address at which peers reach the VM, as IP:PORT
- * @property capacity CPU share; VMs with a larger one are preferred as coordinator
+ * @property capacity processor time that the VM has, in cores; VMs with more are preferred as coordinator
  * @property relay address at which the VM accepts requests that peers relay, as IP:PORT; null if it accepts none
  */
 @Serializable
@@ -71,6 +71,7 @@
  * @property rateLimits limits of targets in force; empty unless the receiver has just started
  * @property suspects requests under which targets ended: those changed lately and those that may be refused
  * @property tracksSuspects true if the sender grants trials of suspect requests
+ * @property acceptsRepeated true if the sender understands [PeerMessage.RepeatedPing] and [PeerMessage.RepeatedPong]
  */
 @Serializable
 data class Heartbeat(
@@ -87,6 +88,7 @@
     val rateLimits: List<TargetRateLimit> = emptyList(),
     val suspects: List<SuspectRecord> = emptyList(),
     val tracksSuspects: Boolean = false,
+    val acceptsRepeated: Boolean = false,
 )
 
 /** Message on a connection between two VMs. */
@@ -108,6 +110,22 @@
         val heartbeat: Heartbeat,
     ) : PeerMessage
 
+    /** Ping whose heartbeat is the last one that the sender sent on this connection, but for its time. */
+    @Serializable
+    @SerialName("P")
+    data class RepeatedPing(
+        val sequence: Long,
+        val wallMs: Long,
+    ) : PeerMessage
+
+    /** Pong whose heartbeat is the last one that the sender sent on this connection, but for its time. */
+    @Serializable
+    @SerialName("Q")
+    data class RepeatedPong(
+        val sequence: Long,
+        val wallMs: Long,
+    ) : PeerMessage
+
     /**
      * Changes of a collection. If [completeTo] is not 0, the receiver has all changes up to that revision once it has
      * applied these.
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -318,6 +318,7 @@
             rateLimits = limits.forHeartbeat(receiver),
             suspects = suspects.forHeartbeat(receiver),
             tracksSuspects = true,
+            acceptsRepeated = true,
         )
 
     override fun needsFastFailureDetection() = coordinator.holdsLease()
@@ -433,6 +434,10 @@
             exchange.respond(HttpResponseMessage(if (ready) OK else UNAVAILABLE))
         }.listen(settings.readiness)
         val address = settings.metrics ?: return
+        metrics.gauge("peers.alive") { mesh.alive().size.toDouble() }
+        metrics.gauge("peers.received.messages") { mesh.receivedMessages.toDouble() }
+        metrics.gauge("peers.received.bytes") { mesh.receivedBytes.toDouble() }
+        metrics.gauge("declaration.version") { sharedState.declaration?.version?.toDouble() ?: 0.0 }
         HttpServer(loop, { CallerLimits() }) { exchange ->
             exchange.respond(HttpResponseMessage(OK, body = metrics.scrape().encodeToByteArray()))
         }.listen(address)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/SuspectRequests.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/suspects/SuspectRequests.kt
@@ -89,6 +89,7 @@
 
     /** All records that are kept, those changed last first; expired ones are removed. */
     fun all(): List<SuspectRecord> {
+        if (records.isEmpty()) return emptyList()
         val now = medianTimeMs()
         records.values.removeIf { now >= it.keepUntilMs }
         return records.values.reversed()
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/Frames.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/Frames.kt
@@ -94,10 +94,11 @@
 suspend fun listenFrames(
     loop: ProcessLoop,
     endpoint: Endpoint,
+    onClose: (FrameConnection) -> Unit = {},
     onFrame: FrameHandler,
 ): Endpoint =
     bind(loop, endpoint) { channel ->
         FrameConnection
-            .handlers(FrameConnection(onFrame, onClose = {}))
+            .handlers(FrameConnection(onFrame, onClose))
             .forEach { channel.pipeline().addLast(it) }
     }
