Two VMs share one connection if there are many VMs

Cause: every VM opened a connection to every other one and pinged on it, so each pair had two connections and pinged in both directions.

Change: from 16 known peers on, the VM with the lower address opens the connection and pings; the other one uses it in both directions and pings only if it has to detect losses at once. Fewer VMs keep two connections a pair.

Tests: PeerMeshTest (a new one for shared connections), HeartbeatExchangeTest pass.

Conclusion: half of the connections and, but for the coordinator's, half of the pings.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerLink.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerLink.kt
@@ -1,5 +1,6 @@
 /*
- * Outgoing connection of this VM to one peer, with the peer's liveness and pending calls.
+ * Connection of this VM to one peer, with the peer's liveness and pending calls. The connection is one that this VM has
+ * opened, or one that the peer has opened and both share.
  */
 package io.guavashore.edge.peers
 
@@ -26,6 +27,7 @@
     private val clock: MonotonicClock,
     private val timing: MeshTiming,
     private val onFrame: LinkFrameHandler,
+    private val connections: PeerConnections,
     private val onChange: () -> Unit,
 ) {
     private var connection: FrameConnection? = null
@@ -34,8 +36,8 @@
     private var livenessMs = 0L
     private val calls = HashMap<Long, CompletableDeferred<PeerReply>>()
 
-    /** Heartbeats on the present connection. */
-    var exchange = HeartbeatExchange()
+    /** True if the peer has opened the connection, and pings on it. */
+    var isShared = false
         private set
 
     /** Monotonic time until which the peer counts as alive, as long as the connection is open. */
@@ -54,10 +56,9 @@
 
     suspend fun connect(): Boolean =
         try {
-            pingSentAtMs.clear()
-            exchange = HeartbeatExchange()
             val handler = { connection: FrameConnection, frame: ByteArray -> onFrame(this, connection, frame) }
-            connection = connectFrames(loop, endpoint, timing.connectTimeoutMs, handler, ::onClose)
+            val opened = connectFrames(loop, endpoint, timing.connectTimeoutMs, handler, ::onClose)
+            if (isOpen) opened.close() else use(opened, isShared = false)
             true
         } catch (e: ExchangeFailure.NotConnected) {
             // Expected while the peer is down; the mesh dials again after its redial interval, so this is not logged.
@@ -75,9 +76,10 @@
         this.livenessMs = livenessMs
         val oldestMs = pingSentAtMs.values.minOrNull()
         if (oldestMs != null && clock() - oldestMs > livenessMs) return false
+        val current = connection ?: return false
         val number = ++sequence
         pingSentAtMs[number] = clock()
-        exchange.send(
+        connections.exchangeOn(current).send(
             heartbeat,
             full = { PeerMessage.Ping(number, heartbeat) },
             repeated = { PeerMessage.RepeatedPing(number, heartbeat.wallMs) },
@@ -100,6 +102,32 @@
         if (!wasAlive || !isUnchanged) onChange()
     }
 
+    /**
+     * Uses [opened], on which the peer has sent [received], in place of the connection that this VM has opened. The
+     * peer counts as alive until [livenessMs] after this call, as it goes on only while it gets pongs.
+     */
+    fun share(
+        opened: FrameConnection,
+        received: Heartbeat,
+        livenessMs: Long,
+    ) {
+        val own = connection
+        if (own !== opened) {
+            use(opened, isShared = true)
+            own?.close()
+        }
+        val wasAlive = isAlive()
+        val isUnchanged = heartbeat?.isSameState(received) == true
+        if (!isUnchanged) heartbeat = received
+        aliveUntilMs = maxOf(aliveUntilMs, clock() + livenessMs)
+        if (!wasAlive || !isUnchanged) onChange()
+    }
+
+    /** True unless a call waits for its reply on the present connection. */
+    fun isIdle(): Boolean = calls.isEmpty()
+
+    fun uses(candidate: FrameConnection): Boolean = connection === candidate
+
     /** Sends [frame]; returns false if the connection is closed or the peer does not keep up with reading. */
     fun send(frame: ByteArray): Boolean = connection?.send(frame) == true
 
@@ -129,8 +157,20 @@
         onChange()
     }
 
-    private fun onClose(closed: FrameConnection) {
-        if (connection === closed) connection = null
+    private fun use(
+        opened: FrameConnection,
+        isShared: Boolean,
+    ) {
+        pingSentAtMs.clear()
+        connection = opened
+        this.isShared = isShared
+    }
+
+    /** To be called when [closed], which this link may use, has closed. */
+    fun onClose(closed: FrameConnection) {
+        connections.remove(closed)
+        if (connection != null && connection !== closed) return
+        connection = null
         aliveUntilMs = 0
         onChange()
         calls.values.forEach { it.complete(PeerReply.NotHere) }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
@@ -3,7 +3,8 @@
  *
  * Each VM connects to every other VM and sends a ping several times a second; ping and pong carry the heartbeats of
  * both sides. A peer counts as alive while it sends pongs, so a connection that is broken in one direction does not
- * keep the peer alive.
+ * keep the peer alive. If there are many VMs, two of them share the connection that the one with the lower address
+ * opens, and only that one pings, unless the other has to detect losses quickly.
  */
 package io.guavashore.edge.peers
 
@@ -35,6 +36,8 @@
     val connectTimeoutMs: Long = 500,
     /** Interval between attempts to connect to a dead peer; not shorter, as a replaced VM never accepts one. */
     val redialIntervalMs: Long = 1_000,
+    /** Known peers from which on two VMs share one connection; fewer VMs detect a loss from both sides. */
+    val minPeersToShare: Int = 16,
 )
 
 /** Callbacks from the mesh to the rest of the process. */
@@ -74,8 +77,7 @@
     private val links = HashMap<String, PeerLink>()
     private val live = LivePeers(links::values, clock)
 
-    /** Heartbeats on the connections that peers have opened. */
-    private val accepted = HashMap<FrameConnection, HeartbeatExchange>()
+    private val connections = PeerConnections()
 
     /** Messages that peers have sent to this VM, and their bytes. */
     var receivedMessages = 0L
@@ -83,10 +85,13 @@
     var receivedBytes = 0L
         private set
 
+    /** Open connections to and from peers. */
+    val openConnections: Int get() = connections.open
+
     /** Accepts connections from peers at [endpoint]; returns the bound address. */
     suspend fun listen(endpoint: Endpoint): Endpoint =
-        listenFrames(loop, endpoint, onClose = { accepted.remove(it) }) { connection, frame ->
-            onFrame(link = null, connection, frame)
+        listenFrames(loop, endpoint, connections::onAcceptedClosed) { connection, frame ->
+            onFrame(connections.linkSharing(connection), connection, frame)
         }
 
     /** Adds the VM at [address], unless it is known, and keeps a connection to it until [removePeer]. */
@@ -94,9 +99,13 @@
         if (address == ownRecord.address || address in links) return
         val endpoint =
             Endpoint.parseOrNull(address) ?: return log.warn { "peer ignored, address is not IP:PORT: $address" }
-        val link = PeerLink(endpoint, loop, clock, timing, ::onFrame, live::onChange)
+        val link = PeerLink(endpoint, loop, clock, timing, ::onFrame, connections, live::onChange)
         links[address] = link
-        loop.scope.launch { keepConnected(link) }
+        loop.scope.launch {
+            // The peer is likely to open the connection that both share.
+            if (sharesConnectionOf(link)) delay(timing.redialIntervalMs)
+            keepConnected(link)
+        }
     }
 
     /** Removes the VM at [address] and closes the connection to it. */
@@ -136,7 +145,7 @@
 
     private suspend fun keepConnected(link: PeerLink) {
         while (links[link.address] === link) {
-            if (link.connect()) pingWhileOpen(link)
+            if (link.isOpen || link.connect()) pingWhileOpen(link)
             delay(timing.redialIntervalMs)
         }
     }
@@ -144,12 +153,24 @@
     private suspend fun pingWhileOpen(link: PeerLink) {
         while (link.isOpen) {
             val intervalMs = pingIntervalMs()
-            val heartbeat = events.heartbeat(link.heartbeat?.vmRecord?.vm)
-            if (!link.ping(heartbeat, (intervalMs * timing.maxUnansweredPings).toLong())) link.close()
+            if (!keepAlive(link, (intervalMs * timing.maxUnansweredPings).toLong())) link.close()
             delay(intervalMs)
         }
     }
 
+    /** Pings the peer unless it pings itself; returns false if the connection is broken. */
+    private fun keepAlive(
+        link: PeerLink,
+        livenessMs: Long,
+    ): Boolean {
+        if (link.isShared && !events.needsFastFailureDetection()) return link.isAlive()
+        return link.ping(events.heartbeat(link.heartbeat?.vmRecord?.vm), livenessMs)
+    }
+
+    /** True if this VM and the peer of [link] share the connection that the peer opens. */
+    private fun sharesConnectionOf(link: PeerLink) =
+        links.size >= timing.minPeersToShare && ownRecord.address > link.address
+
     private fun pingIntervalMs(): Long {
         val spacedMs = timing.pingSpacingMs * links.size
         return if (events.needsFastFailureDetection()) timing.pingIntervalMs else maxOf(timing.pingIntervalMs, spacedMs)
@@ -165,17 +186,17 @@
         receivedBytes += frame.size
         when (val message = decode(frame) ?: return connection.close()) {
             is PeerMessage.Ping -> {
-                exchangeOn(connection, link).onFull(message.heartbeat)
+                connections.exchangeOn(connection).onFull(message.heartbeat)
                 onPing(message.sequence, message.heartbeat, link, connection)
             }
             is PeerMessage.RepeatedPing ->
-                onPing(message.sequence, repeated(message.wallMs, connection, link), link, connection)
+                onPing(message.sequence, repeated(message.wallMs, connection), link, connection)
             is PeerMessage.Pong -> {
-                exchangeOn(connection, link).onFull(message.heartbeat)
+                connections.exchangeOn(connection).onFull(message.heartbeat)
                 onPong(message.sequence, message.heartbeat, link)
             }
             is PeerMessage.RepeatedPong ->
-                onPong(message.sequence, repeated(message.wallMs, connection, link), link)
+                onPong(message.sequence, repeated(message.wallMs, connection), link)
             is PeerMessage.CollectionChanges -> events.onCollectionChanges(message)
             is PeerMessage.ChangesRequest -> connection.send(encode(events.onChangesRequest(message)))
             is PeerMessage.PartialTexts -> events.onPartialTexts(message)
@@ -193,9 +214,10 @@
         connection: FrameConnection,
     ) {
         if (received == null) return
+        if (link == null || link.isShared) shareConnection(received, connection)
         events.onHeartbeat(received)
         val own = events.heartbeat(received.vmRecord.vm)
-        exchangeOn(connection, link).send(
+        connections.exchangeOn(connection).send(
             own,
             full = { PeerMessage.Pong(sequence, own) },
             repeated = { PeerMessage.RepeatedPong(sequence, own.wallMs) },
@@ -219,19 +241,25 @@
     private fun repeated(
         wallMs: Long,
         connection: FrameConnection,
-        link: PeerLink?,
     ): Heartbeat? {
-        val heartbeat = exchangeOn(connection, link).onRepeated(wallMs)
+        val heartbeat = connections.exchangeOn(connection).onRepeated(wallMs)
         if (heartbeat != null) return heartbeat
         log.warn { "a peer repeats a heartbeat that it has not sent, closing the connection" }
         connection.close()
         return null
     }
 
-    private fun exchangeOn(
+    /** Uses [connection], on which a peer has sent the ping with [received], in both directions if the VMs are many. */
+    private fun shareConnection(
+        received: Heartbeat,
         connection: FrameConnection,
-        link: PeerLink?,
-    ): HeartbeatExchange = link?.exchange ?: accepted.getOrPut(connection) { HeartbeatExchange() }
+    ) {
+        val link = links[received.vmRecord.address] ?: return
+        val isInUse = link.uses(connection)
+        if (!isInUse && !(sharesConnectionOf(link) && link.isIdle())) return
+        connections.share(connection, link)
+        link.share(connection, received, (pingIntervalMs() * timing.maxUnansweredPings).toLong())
+    }
 
     private suspend fun handleCall(
         connection: FrameConnection,
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/peers/PeerMeshTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/peers/PeerMeshTest.kt
@@ -26,6 +26,8 @@
     private inner class Vm(
         name: String,
         private val acceptsRepeated: Boolean = true,
+        timing: MeshTiming = this.timing,
+        private val isFast: Boolean = false,
     ) : PeerEvents {
         private val address = Endpoint("127.0.0.1", ServerSocket(0).use { it.localPort })
         private val record = VmRecord(VmId(name), Incarnation(1), "$address", ZoneId("z"), capacity = 1.0)
@@ -46,7 +48,7 @@
                 acceptsRepeated = acceptsRepeated,
             )
 
-        override fun needsFastFailureDetection() = false
+        override fun needsFastFailureDetection() = isFast
 
         override fun onHeartbeat(heartbeat: Heartbeat) {
             heard += heartbeat
@@ -64,6 +66,8 @@
         override fun onRateLimits(limits: List<TargetRateLimit>) = Unit
 
         override suspend fun onCall(call: PeerCall) = PeerReply.Done
+
+        fun knows(others: Int) = mesh.alive().size == others
     }
 
     private fun onLoop(block: suspend () -> Unit) = runBlocking { loop.scope.async { block() }.await() }
@@ -132,6 +136,33 @@
             assertEquals(emptyList(), b.mesh.alive())
         }
 
+    @Test
+    fun `VMs that share a connection for each pair know each other and call each other in both directions`() =
+        onLoop {
+            val sharing = timing.copy(minPeersToShare = 2)
+            val vms = (0 until VMS).map { Vm("vm$it", timing = sharing, isFast = it == 0) }
+            vms.first().start()
+            vms.drop(1).forEach { it.start(known = vms.first()) }
+            val addresses = vms.map { it.heartbeat(null).vmRecord.address }
+            vms.forEach { vm -> addresses.forEach(vm.mesh::addPeer) }
+            eventually { vms.all { it.knows(VMS - 1) } }
+            delay(SETTLE_MS)
+            vms.forEach { vm ->
+                vm.mesh.alive().forEach { peer ->
+                    assertEquals(PeerReply.Done, vm.mesh.call(peer.vmRecord.vm, PeerCall.Permits(emptyList()), 1_000))
+                }
+            }
+            assertTrue(vms.all { it.knows(VMS - 1) }, "peers are lost without a fault")
+            assertEquals(VMS * (VMS - 1), vms.sumOf { it.mesh.openConnections }, "each pair shares one connection")
+        }
+
     @AfterTest
     fun close() = loop.close()
+
+    private companion object {
+        const val VMS = 6
+
+        /** Some rounds of pings, after which no connection is opened or closed any more. */
+        const val SETTLE_MS = 400L
+    }
 }
