--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
@@ -3,7 +3,8 @@
  *
  * Each VM connects to every other VM and sends a ping several times a second; ping and pong carry the heartbeats of
  * both sides. A peer counts as alive while it sends pongs, so a connection that is broken in one direction does not
- * keep the peer alive.
+ * keep the peer alive. If there are many VMs, two of them share the connection that the one with the lower address
+ * opens, and only that one pings, unless the other has to detect losses quickly.
  */
 package io.guavashore.edge.peers
 
@@ -35,6 +36,8 @@
     val connectTimeoutMs: Long = 500,
     /** Interval between attempts to connect to a dead peer; not shorter, as a replaced VM never accepts one. */
     val redialIntervalMs: Long = 1_000,
+    /** Known peers from which on two VMs share one connection; fewer VMs detect a loss from both sides. */
+    val minPeersToShare: Int = 16,
 )
 
 /** Callbacks from the mesh to the rest of the process. */
@@ -72,18 +75,37 @@
     private val timing: MeshTiming = MeshTiming(),
 ) {
     private val links = HashMap<String, PeerLink>()
+    private val live = LivePeers(links::values, clock)
+
+    private val connections = PeerConnections()
+
+    /** Messages that peers have sent to this VM, and their bytes. */
+    var receivedMessages = 0L
+        private set
+    var receivedBytes = 0L
+        private set
+
+    /** Open connections to and from peers. */
+    val openConnections: Int get() = connections.open
 
     /** Accepts connections from peers at [endpoint]; returns the bound address. */
-    suspend fun listen(endpoint: Endpoint): Endpoint = listenFrames(loop, endpoint, ::onFrame)
+    suspend fun listen(endpoint: Endpoint): Endpoint =
+        listenFrames(loop, endpoint, connections::onAcceptedClosed) { connection, frame ->
+            onFrame(connections.linkSharing(connection), connection, frame)
+        }
 
     /** Adds the VM at [address], unless it is known, and keeps a connection to it until [removePeer]. */
     fun addPeer(address: String) {
         if (address == ownRecord.address || address in links) return
         val endpoint =
             Endpoint.parseOrNull(address) ?: return log.warn { "peer ignored, address is not IP:PORT: $address" }
-        val link = PeerLink(endpoint, loop, clock, timing, ::onFrame)
+        val link = PeerLink(endpoint, loop, clock, timing, ::onFrame, connections, live::onChange)
         links[address] = link
-        loop.scope.launch { keepConnected(link) }
+        loop.scope.launch {
+            // The peer is likely to open the connection that both share.
+            if (sharesConnectionOf(link)) delay(timing.redialIntervalMs)
+            keepConnected(link)
+        }
     }
 
     /** Removes the VM at [address] and closes the connection to it. */
@@ -91,19 +113,15 @@
         links.remove(address)?.close()
     }
 
-    /** Last heartbeats of the peers that are alive now. */
-    fun alive(): List<Heartbeat> =
-        links.values
-            .filter { it.isAlive() }
-            .mapNotNull { it.heartbeat }
-            .distinctBy { it.vmRecord.vm }
+    /** Heartbeats of the peers that are alive now, as of their last change; the same list until one changes. */
+    fun alive(): List<Heartbeat> = live.heartbeats()
 
     /** Calls [vm]; null if it is not alive or does not reply within [timeoutMs]. */
     suspend fun call(
         vm: VmId,
         call: PeerCall,
         timeoutMs: Long,
-    ): PeerReply? = linkTo(vm)?.call(call, timeoutMs)
+    ): PeerReply? = live[vm]?.call(call, timeoutMs)
 
     /** Sends [message] to all live peers. */
     fun broadcast(message: PeerMessage) {
@@ -116,7 +134,7 @@
         vm: VmId,
         message: PeerMessage,
     ) {
-        linkTo(vm)?.send(encode(message))
+        live[vm]?.send(encode(message))
     }
 
     /** Sends heartbeats to all peers immediately, without waiting for the next ping. */
@@ -125,16 +143,9 @@
         links.values.forEach { it.ping(events.heartbeat(it.heartbeat?.vmRecord?.vm), livenessMs) }
     }
 
-    /** Connection to [vm]; null unless [vm] is alive. */
-    private fun linkTo(vm: VmId): PeerLink? =
-        links.values.firstOrNull {
-            it.isAlive() &&
-                it.heartbeat?.vmRecord?.vm == vm
-        }
-
     private suspend fun keepConnected(link: PeerLink) {
         while (links[link.address] === link) {
-            if (link.connect()) pingWhileOpen(link)
+            if (link.isOpen || link.connect()) pingWhileOpen(link)
             delay(timing.redialIntervalMs)
         }
     }
@@ -142,44 +153,114 @@
     private suspend fun pingWhileOpen(link: PeerLink) {
         while (link.isOpen) {
             val intervalMs = pingIntervalMs()
-            val heartbeat = events.heartbeat(link.heartbeat?.vmRecord?.vm)
-            if (!link.ping(heartbeat, (intervalMs * timing.maxUnansweredPings).toLong())) link.close()
+            if (!keepAlive(link, (intervalMs * timing.maxUnansweredPings).toLong())) link.close()
             delay(intervalMs)
         }
     }
 
+    /** Pings the peer unless it pings itself; returns false if the connection is broken. */
+    private fun keepAlive(
+        link: PeerLink,
+        livenessMs: Long,
+    ): Boolean {
+        if (link.isShared && !events.needsFastFailureDetection()) return link.isAlive()
+        return link.ping(events.heartbeat(link.heartbeat?.vmRecord?.vm), livenessMs)
+    }
+
+    /** True if this VM and the peer of [link] share the connection that the peer opens. */
+    private fun sharesConnectionOf(link: PeerLink) =
+        links.size >= timing.minPeersToShare && ownRecord.address > link.address
+
     private fun pingIntervalMs(): Long {
         val spacedMs = timing.pingSpacingMs * links.size
         return if (events.needsFastFailureDetection()) timing.pingIntervalMs else maxOf(timing.pingIntervalMs, spacedMs)
     }
 
+    /** Handles a message received on [connection]; [link] is null if the peer opened the connection. */
     private fun onFrame(
+        link: PeerLink?,
         connection: FrameConnection,
         frame: ByteArray,
     ) {
+        receivedMessages++
+        receivedBytes += frame.size
         when (val message = decode(frame) ?: return connection.close()) {
             is PeerMessage.Ping -> {
-                events.onHeartbeat(message.heartbeat)
-                connection.send(
-                    encode(PeerMessage.Pong(message.sequence, events.heartbeat(message.heartbeat.vmRecord.vm))),
-                )
-                addPeer(message.heartbeat.vmRecord.address)
+                connections.exchangeOn(connection).onFull(message.heartbeat)
+                onPing(message.sequence, message.heartbeat, link, connection)
             }
+            is PeerMessage.RepeatedPing ->
+                onPing(message.sequence, repeated(message.wallMs, connection), link, connection)
             is PeerMessage.Pong -> {
-                linkOf(connection)?.onPong(message)
-                addPeer(message.heartbeat.vmRecord.address)
-                events.onHeartbeat(message.heartbeat)
+                connections.exchangeOn(connection).onFull(message.heartbeat)
+                onPong(message.sequence, message.heartbeat, link)
             }
+            is PeerMessage.RepeatedPong ->
+                onPong(message.sequence, repeated(message.wallMs, connection), link)
             is PeerMessage.CollectionChanges -> events.onCollectionChanges(message)
             is PeerMessage.ChangesRequest -> connection.send(encode(events.onChangesRequest(message)))
             is PeerMessage.PartialTexts -> events.onPartialTexts(message)
             is PeerMessage.TargetLeaving -> events.onTargetLeaving(message)
             is PeerMessage.RateLimits -> events.onRateLimits(message.limits)
             is PeerMessage.Call -> loop.scope.launch { handleCall(connection, message) }
-            is PeerMessage.Reply -> linkOf(connection)?.onReply(message)
+            is PeerMessage.Reply -> link?.onReply(message)
         }
     }
 
+    private fun onPing(
+        sequence: Long,
+        received: Heartbeat?,
+        link: PeerLink?,
+        connection: FrameConnection,
+    ) {
+        if (received == null) return
+        if (link == null || link.isShared) shareConnection(received, connection)
+        events.onHeartbeat(received)
+        val own = events.heartbeat(received.vmRecord.vm)
+        connections.exchangeOn(connection).send(
+            own,
+            full = { PeerMessage.Pong(sequence, own) },
+            repeated = { PeerMessage.RepeatedPong(sequence, own.wallMs) },
+            send = { connection.send(encode(it)) },
+        )
+        addPeer(received.vmRecord.address)
+    }
+
+    private fun onPong(
+        sequence: Long,
+        received: Heartbeat?,
+        link: PeerLink?,
+    ) {
+        if (received == null) return
+        link?.onPong(sequence, received)
+        addPeer(received.vmRecord.address)
+        events.onHeartbeat(received)
+    }
+
+    /** The heartbeat that a peer repeats; closes the connection and returns null if the peer has not sent it. */
+    private fun repeated(
+        wallMs: Long,
+        connection: FrameConnection,
+    ): Heartbeat? {
+        val heartbeat = connections.exchangeOn(connection).onRepeated(wallMs)
+        if (heartbeat != null) return heartbeat
+        log.warn { "a peer repeats a heartbeat that it has not sent, closing the connection" }
+        connection.close()
+        return null
+    }
+
+    /** Uses [connection], on which a peer has sent the ping with [received], in both directions if the VMs are many. */
+    private fun shareConnection(
+        received: Heartbeat,
+        connection: FrameConnection,
+    ) {
+        val link = links[received.vmRecord.address] ?: return
+        val isInUse = link.uses(connection)
+        if (!isInUse && !(sharesConnectionOf(link) && link.isIdle())) return
+        connections.share(connection, link)
+        link.share(connection, received, (pingIntervalMs() * timing.maxUnansweredPings).toLong())
+    }
+
     private suspend fun handleCall(
         connection: FrameConnection,
         call: PeerMessage.Call,
@@ -188,9 +269,6 @@
         connection.send(encode(PeerMessage.Reply(call.id, reply)))
     }
 
-    /** Link that uses [connection]; null if a peer opened it or it has been replaced. */
-    private fun linkOf(connection: FrameConnection) = links.values.firstOrNull { it.usesConnection(connection) }
-
     private fun decode(frame: ByteArray): PeerMessage? =
         try {
             cbor.decodeFromByteArray<PeerMessage>(frame)
