Cold targets get no more requests per second than their service declares

Cause: a target that has just started, or says so, ends if it gets many requests at once; nothing read its statement. Change: ColdTargets keeps which targets are cold (entry, new process, return after a failure, news of a peer). Placement prefers warm engines. Takes effect only where a service declares a cold rate.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
@@ -124,6 +124,7 @@
             isUsable = !engineStatus.isLoading(entry.id) && !directory.isSuspect(entry.id),
             isLoading = engineStatus.isLoading(entry.id),
             startsAllowed = permits.available(entry.id),
+            isCold = permits.isCold(entry.id),
         )
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/Placement.kt
@@ -25,6 +25,7 @@
  * @property isUsable false while the engine leaves, loads weights, or has just failed
  * @property isLoading true while the engine loads weights
  * @property startsAllowed number of runs that may be started now within the engine's request limit
+ * @property isCold true while the engine bears few starts per second; engines that are warm are preferred
  */
 data class EngineView(
     val id: TargetId,
@@ -38,6 +39,7 @@
     val isUsable: Boolean,
     val isLoading: Boolean = false,
     val startsAllowed: Int = Int.MAX_VALUE,
+    val isCold: Boolean = false,
 ) {
     private val currentTokens = runs.sumOf { it.currentTokens }
     private val finalTokens = runs.sumOf { it.finalTokens }
@@ -83,6 +85,8 @@
     val defaultMsPerEvent: Double = 40.0,
     /** Cost of placing an item on a full rather than an empty engine; batching slows engines by a few percent only. */
     val fullEnginePenaltyMs: Double = 250.0,
+    /** Cost of using one of the few starts of a cold engine while a warm one has a free slot. */
+    val coldEnginePenaltyMs: Double = 500.0,
     /** Share of the memory that the expected peak may use; the rest absorbs runs that exceed their estimates. */
     val maxMemoryShare: Double = 0.85,
     /** Speed ratio of the new to the current engine above which an item moves. */
@@ -145,7 +149,8 @@
     engines: List<EngineView>,
     config: PlacementConfig = PlacementConfig(),
 ): EngineView? {
-    val best = bestEngine(demand, engines.filter { it.id != current.id }, config) ?: return null
+    // The few starts of cold engines are for items that wait.
+    val best = bestEngine(demand, engines.filter { it.id != current.id && !it.isCold }, config) ?: return null
     val eventsLeft = demand.item.expectedRemainingTokens(config.tokensPerEvent) / config.tokensPerEvent.toDouble()
     val bestMsPerEvent = best.msPerEvent ?: config.defaultMsPerEvent
     if (current.isLoading) return best.takeIf { eventsLeft * bestMsPerEvent > config.minRemainingMsToLeaveLoading }
@@ -219,5 +224,7 @@
     config: PlacementConfig,
 ): Double {
     val eventsLeft = demand.item.expectedRemainingTokens(config.tokensPerEvent) / config.tokensPerEvent.toDouble()
-    return eventsLeft * (msPerEvent ?: config.defaultMsPerEvent) + config.fullEnginePenaltyMs * running / slots
+    val coldPenaltyMs = if (isCold) config.coldEnginePenaltyMs else 0.0
+    val usedPenaltyMs = config.fullEnginePenaltyMs * running / slots
+    return eventsLeft * (msPerEvent ?: config.defaultMsPerEvent) + usedPenaltyMs + coldPenaltyMs
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/declared/EdgeDeclaration.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/declared/EdgeDeclaration.kt
@@ -117,12 +117,17 @@
  * @property maxConnections limit on the connections to one target, for all its callers together
  * @property engine null for a service whose targets are not model engines
  * @property scaling null if the number of targets is not managed
+ * @property coldStartsPerS requests per second that a cold target bears, from all VMs together; null if targets of the
+ * service are never cold
+ * @property coldMs time for which a target is cold after its start
  */
 data class ServiceSpec(
     val id: ServiceId,
     val maxConnections: Int,
     val engine: EngineSpec? = null,
     val scaling: ScalingSpec? = null,
+    val coldStartsPerS: Double? = null,
+    val coldMs: Long = 0,
 )
 
 /**
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/declared/TargetEntry.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/declared/TargetEntry.kt
@@ -28,6 +28,8 @@
  * @property versions version of the weights by model, for each model that the target holds
  * @property isSpot true if the target may be reclaimed together with all other spot targets of its zone
  * @property isLeaving true if the target takes no new requests
+ * @property coldForMs time for which the target stays cold, counted from the receipt of the entry; null if the entry
+ * does not state it
  */
 data class TargetEntry(
     val id: TargetId,
@@ -41,4 +43,5 @@
     val ordersTaken: Long = 0,
     val versions: Map<ModelId, Long> = emptyMap(),
     val isSpot: Boolean = false,
+    val coldForMs: Long? = null,
 )
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/PermitIssuer.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/PermitIssuer.kt
@@ -14,10 +14,15 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Issuer of one term of the coordinator; its schedules start empty. Not thread-safe. */
+/**
+ * Issuer of one term of the coordinator; its schedules start empty. Not thread-safe.
+ *
+ * @param holdsLease false if another VM may be coordinator, so that no permits for cold targets are issued
+ */
 class PermitIssuer(
     private val limits: TargetRateLimits,
     private val clock: MonotonicClock,
+    private val holdsLease: () -> Boolean = { true },
 ) {
     private class Schedule(
         val permits: PermitSchedule,
@@ -26,6 +31,10 @@
     )
 
     private val schedules = HashMap<TargetId, Schedule>()
+    private val recentStarts = RecentStarts()
+
+    /** Time at which the last permit of an earlier term for a cold target has expired. */
+    private val strictFromMs = clock() + StrictLimit.MAX_WAIT_MS + StrictLimit.VALIDITY_MS
 
     /** Number of requests that may be sent to [target] now. */
     fun available(target: TargetId): Int {
@@ -39,7 +48,11 @@
 
     /** Takes a permit for one request to [target] now; false if there is none. */
     fun take(target: TargetId): Boolean {
-        val requestsPerS = limits.of(target) ?: return true
+        val requestsPerS = limits.of(target)
+        if (requestsPerS == null) {
+            recentStarts.record(target, clock())
+            return true
+        }
         val permits = schedule(target, requestsPerS).permits
         if (permits.available(clock()) == 0) return false
         permits.take(clock())
@@ -49,37 +62,76 @@
     /** Decides on [request]: the candidate that has room first, the preferred one if several have. */
     fun decide(request: PermitRequest): PermitDecision {
         val now = clock()
-        val rates = request.candidates.mapNotNull { candidate -> rateOf(candidate)?.let { candidate.target to it } }
         val unlimited = request.candidates.firstOrNull { rateOf(it) == null }
-        if (unlimited != null) return PermitDecision.Granted(unlimited.target, waitMs = 0)
-        val (target, requestsPerS) =
-            rates.minByOrNull { (target, rate) -> schedule(target, rate).permits.earliestMs(now) }
-                ?: return PermitDecision.Refused(MAX_RETRY_AFTER_MS)
-        val schedule = schedule(target, requestsPerS)
-        val waitMs = schedule.permits.earliestMs(now) - now
-        if (waitMs <= request.maxWaitMs) {
-            schedule.permits.take(now)
-            return PermitDecision.Granted(target, waitMs)
+        if (unlimited != null) {
+            recentStarts.record(unlimited.target, now)
+            return PermitDecision.Granted(unlimited.target, waitMs = 0)
+        }
+        val byTime =
+            request.candidates
+                .filter { !isStrict(it) || holdsLease() }
+                .map { it to schedule(it) }
+                .sortedBy { (_, schedule) -> schedule.permits.earliestMs(now) }
+        if (byTime.isEmpty()) return refuseWithoutLease(request)
+        val inTime =
+            byTime.firstOrNull { (it, schedule) ->
+                schedule.permits.earliestMs(now) - now <=
+                    maxWaitMs(it, request)
+            }
+        if (inTime != null) {
+            val (candidate, schedule) = inTime
+            return PermitDecision.Granted(candidate.target, schedule.permits.take(now) - now)
         }
+        val schedule = byTime.first().second
+        val waitMs = schedule.permits.earliestMs(now) - now
         val promisedMs = maxOf(schedule.promisedMs, now + waitMs)
         schedule.promisedMs = minOf(promisedMs + schedule.permits.spacingMs, now + MAX_RETRY_AFTER_MS)
         val retryAfterMs = promisedMs - now
         log.info {
-            "permit refused: targets=${rates.map { it.first }} max_wait_ms=${request.maxWaitMs} " +
+            "permit refused: targets=${byTime.map { it.first.target }} max_wait_ms=${request.maxWaitMs} " +
                 "first_ms=$waitMs retry_after_ms=$retryAfterMs"
         }
         return PermitDecision.Refused(retryAfterMs)
     }
 
+    private fun refuseWithoutLease(request: PermitRequest): PermitDecision {
+        log.info { "permit refused, lease not held: targets=${request.candidates.map { it.target }}" }
+        return PermitDecision.Refused(NO_LEASE_RETRY_AFTER_MS)
+    }
+
     /** Rate of the candidate: as known here, else as the requesting VM knows it; null if there is no limit. */
-    private fun rateOf(candidate: TargetRateLimit): Double? = limits.of(candidate.target) ?: candidate.requestsPerS
+    private fun rateOf(candidate: TargetRateLimit): Double? {
+        val known = limits.of(candidate.target)
+        val stated = candidate.requestsPerS
+        return if (known != null && stated != null && candidate.isStrict) minOf(known, stated) else known ?: stated
+    }
+
+    /** True if the target is cold as far as this VM or the requesting one knows. */
+    private fun isStrict(candidate: TargetRateLimit) = candidate.isStrict || limits.isStrict(candidate.target)
+
+    private fun maxWaitMs(
+        candidate: TargetRateLimit,
+        request: PermitRequest,
+    ) = if (isStrict(candidate)) minOf(request.maxWaitMs, StrictLimit.MAX_WAIT_MS) else request.maxWaitMs
+
+    private fun schedule(candidate: TargetRateLimit): Schedule =
+        schedule(candidate.target, requireNotNull(rateOf(candidate)), isStrict(candidate))
 
     private fun schedule(
         target: TargetId,
         requestsPerS: Double,
+        isStrict: Boolean = limits.isStrict(target),
     ): Schedule {
         val now = clock()
-        val schedule = schedules.getOrPut(target) { Schedule(PermitSchedule(requestsPerS, now)) }
+        val schedule =
+            schedules.getOrPut(target) {
+                val freeFromMs = recentStarts.takeFreeFromMs(target, requestsPerS)
+                val permits = PermitSchedule(requestsPerS, now, allowsBurst = !isStrict)
+                if (isStrict) permits.startAt(freeFromMs)
+                Schedule(permits)
+            }
+        schedule.permits.allowsBurst = !isStrict
+        if (isStrict) schedule.permits.startAt(strictFromMs)
         schedule.permits.setRate(requestsPerS, now)
         return schedule
     }
@@ -87,5 +139,8 @@
     private companion object {
         /** Beyond this time, the limit may have changed or been lifted. */
         const val MAX_RETRY_AFTER_MS = 5_000L
+
+        /** A lost lease is renewed or taken over within about this time. */
+        const val NO_LEASE_RETRY_AFTER_MS = 1_000L
     }
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/PermitSchedule.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/PermitSchedule.kt
@@ -9,10 +9,15 @@
 
 import kotlin.math.ceil
 
-/** Schedule for [requestsPerS] requests per second, from [nowMs]. Not thread-safe; does no I/O. */
+/**
+ * Schedule for [requestsPerS] requests per second, from [nowMs]. Not thread-safe; does no I/O.
+ *
+ * @property allowsBurst false if requests are spaced evenly also after a pause
+ */
 class PermitSchedule(
     requestsPerS: Double,
     nowMs: Long,
+    var allowsBurst: Boolean = true,
 ) {
     private var rate = effectiveRate(requestsPerS)
     private val intervalMs: Double get() = MS_PER_S / rate
@@ -37,6 +42,11 @@
         nextMs = nowMs + minOf(assigned * intervalMs, assignedMs + MAX_DEBT_MS)
     }
 
+    /** Assigns no request before [timeMs]. */
+    fun startAt(timeMs: Long) {
+        nextMs = maxOf(nextMs, timeMs + toleranceMs)
+    }
+
     /** Number of requests that may be sent at [nowMs]. */
     fun available(nowMs: Long): Int {
         val earliest = earliestMs(nowMs)
@@ -54,7 +64,7 @@
         return atMs
     }
 
-    private fun burst(): Double = maxOf(1.0, rate * MAX_BURST_S)
+    private fun burst(): Double = if (allowsBurst) maxOf(1.0, rate * MAX_BURST_S) else 1.0
 
     private companion object {
         const val MS_PER_S = 1_000.0
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/PermitSource.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/PermitSource.kt
@@ -11,6 +11,8 @@
     val available: (TargetId) -> Int,
     /** Takes a permit for one request to a target now; null if there is none. */
     val take: (TargetId) -> Permit?,
+    /** True while a target is cold, so that other targets are preferred. */
+    val isCold: (TargetId) -> Boolean = { false },
 ) {
     companion object {
         /** Source for targets that limit nothing. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
@@ -38,11 +38,13 @@
  *
  * @property mayIssue true while this VM is the coordinator and no other VM can be: another one may issue permits as
  * soon as the lease of this one has expired, unless this one would have heard of it
+ * @property holdsLease true while no other VM can be coordinator; required for permits to cold targets
  */
 class Fleet(
     val self: VmId,
     val registered: () -> Collection<VmId>,
     val mayIssue: () -> Boolean,
+    val holdsLease: () -> Boolean = mayIssue,
     val medianTimeMs: WallClock,
 )
 
@@ -58,7 +60,11 @@
     private class Pending(
         val request: PermitRequest,
         val decision: CompletableDeferred<PermitDecision?> = CompletableDeferred(),
-    )
+    ) {
+        /** Times before the decision, by the monotonic and the wall clock; a permit expires counted from them. */
+        var askedMs = 0L
+        var askedWallMs = 0L
+    }
 
     private val pending = ArrayList<Pending>()
     private var isAsking = false
@@ -67,6 +73,9 @@
     /** True while this VM may issue permits to others. */
     val mayIssue: () -> Boolean get() = fleet.mayIssue
 
+    /** True while this VM may issue permits to cold targets. */
+    val holdsLease: () -> Boolean get() = fleet.holdsLease
+
     /** True if requests to [target] need a permit. */
     fun isLimited(target: TargetId): Boolean = limits.of(target) != null
 
@@ -75,15 +84,14 @@
         candidates: List<TargetId>,
         maxWaitMs: Long,
     ): PermitOutcome {
-        val askedMs = clock()
-        val askedWallMs = wallClock()
-        val limited = candidates.map { TargetRateLimit(it, bornAtMs = null, limits.of(it)) }
-        val decision = ask(PermitRequest(limited, maxWaitMs)) ?: decideAlone(limited, maxWaitMs)
+        val limited = candidates.map { TargetRateLimit(it, bornAtMs = null, limits.of(it), limits.isStrict(it)) }
+        val asked = Pending(PermitRequest(limited, maxWaitMs))
+        val decision = ask(asked) ?: decideAlone(asked)
         if (decision is PermitDecision.Refused) return PermitOutcome.NoRoom(decision.retryAfterMs)
         val granted = decision as PermitDecision.Granted
-        val useWithinMs = granted.waitMs + VALIDITY_MS
+        val notBeforeMs = clock() + granted.waitMs
         return PermitOutcome.Obtained(
-            permit(granted.target, clock() + granted.waitMs, askedMs + useWithinMs, askedWallMs + useWithinMs),
+            permit(granted.target, notBeforeMs, asked.askedMs + granted.waitMs, asked.askedWallMs + granted.waitMs),
         )
     }
 
@@ -101,16 +109,19 @@
     /** Permits for this VM's own requests that [issuer] has free at the moment, or turns if it may not issue any. */
     fun from(issuer: PermitIssuer) =
         PermitSource(
-            available = { if (fleet.mayIssue()) issuer.available(it) else ownTurns(it) },
+            available = { if (mayIssue(it)) issuer.available(it) else ownTurns(it) },
             take = { target ->
-                val isTaken = if (fleet.mayIssue()) issuer.take(target) else takeOwnTurn(target, maxWaitMs = 0) != null
-                if (isTaken) permit(target, clock(), clock() + VALIDITY_MS, wallClock() + VALIDITY_MS) else null
+                val isTaken = if (mayIssue(target)) issuer.take(target) else takeOwnTurn(target, maxWaitMs = 0) != null
+                if (isTaken) permit(target, clock(), clock(), wallClock()) else null
             },
+            isCold = limits::isStrict,
         )
 
+    private fun mayIssue(target: TargetId) = fleet.mayIssue() && (!limits.isStrict(target) || fleet.holdsLease())
+
     private fun ownTurns(target: TargetId): Int {
         val requestsPerS = limits.of(target) ?: return Int.MAX_VALUE
-        return if (turns.waitMs(target, requestsPerS, place()) == 0L) 1 else 0
+        return if (turns.waitMs(target, requestsPerS, place(), turnShare(target)) == 0L) 1 else 0
     }
 
     /** Takes this VM's next turn at [target] and returns the time until it begins; null if that exceeds [maxWaitMs]. */
@@ -119,27 +130,36 @@
         maxWaitMs: Long,
     ): Long? {
         val requestsPerS = limits.of(target) ?: return 0
-        return turns.take(target, requestsPerS, place(), maxWaitMs)
+        val waitMs = if (limits.isStrict(target)) minOf(maxWaitMs, StrictLimit.MAX_WAIT_MS) else maxWaitMs
+        return turns.take(target, requestsPerS, place(), waitMs, turnShare(target))
     }
 
+    private fun turnShare(target: TargetId) =
+        if (limits.isStrict(target)) StrictLimit.TURN_SHARE else RotatingTurns.RATE_SHARE
+
     private fun place(): RotationPlace {
         val vms = (fleet.registered() + fleet.self).toSortedSet()
         return RotationPlace(rank = vms.headSet(fleet.self).size, vmCount = vms.size, wallMs = fleet.medianTimeMs())
     }
 
-    /** Permit that expires by either clock: the monotonic one stands still while the VM is suspended. */
+    /**
+     * Permit that is valid from [fromMs] or [fromWallMs] for a short time. It expires by either clock: the monotonic one
+     * stands still while the VM is suspended.
+     */
     private fun permit(
         target: TargetId,
         notBeforeMs: Long,
-        useByMs: Long,
-        useByWallMs: Long,
+        fromMs: Long,
+        fromWallMs: Long,
     ): Permit {
         if (!isLimited(target)) return Permit(target)
-        return Permit(target, notBeforeMs) { clock() <= useByMs && wallClock() <= useByWallMs }
+        val validityMs = if (limits.isStrict(target)) StrictLimit.VALIDITY_MS else VALIDITY_MS
+        return Permit(target, notBeforeMs) {
+            clock() <= fromMs + validityMs && wallClock() <= fromWallMs + validityMs
+        }
     }
 
-    private suspend fun ask(request: PermitRequest): PermitDecision? {
-        val waiting = Pending(request)
+    private suspend fun ask(waiting: Pending): PermitDecision? {
         pending += waiting
         if (!isAsking) scope.launch { askWhilePending() }
         return waiting.decision.await()
@@ -152,6 +172,7 @@
             while (pending.isNotEmpty()) {
                 val batch = pending.toList()
                 pending.clear()
+                batch.forEach(::markAsked)
                 var decisions: List<PermitDecision>? = null
                 try {
                     decisions = askCoordinator(batch.map { it.request })
@@ -165,10 +186,14 @@
         }
     }
 
-    private fun decideAlone(
-        candidates: List<TargetRateLimit>,
-        maxWaitMs: Long,
-    ): PermitDecision {
+    private fun markAsked(waiting: Pending) {
+        waiting.askedMs = clock()
+        waiting.askedWallMs = wallClock()
+    }
+
+    private fun decideAlone(asked: Pending): PermitDecision {
+        markAsked(asked)
+        val (candidates, maxWaitMs) = asked.request
         val granted =
             candidates.firstNotNullOfOrNull { candidate ->
                 takeOwnTurn(candidate.target, maxWaitMs)?.let { PermitDecision.Granted(candidate.target, it) }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RotatingTurns.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RotatingTurns.kt
@@ -34,10 +34,11 @@
         requestsPerS: Double,
         place: RotationPlace,
         maxWaitMs: Long,
+        rateShare: Double = RATE_SHARE,
     ): Long? {
-        val waitMs = waitMs(target, requestsPerS, place)
+        val waitMs = waitMs(target, requestsPerS, place, rateShare)
         if (waitMs > maxWaitMs) return null
-        val turnMs = turnMs(requestsPerS)
+        val turnMs = turnMs(requestsPerS, rateShare)
         takenUntilMs[target] = (nextTurn(target, turnMs, place) + 1) * turnMs
         return waitMs
     }
@@ -47,8 +48,9 @@
         target: TargetId,
         requestsPerS: Double,
         place: RotationPlace,
+        rateShare: Double = RATE_SHARE,
     ): Long {
-        val turnMs = turnMs(requestsPerS)
+        val turnMs = turnMs(requestsPerS, rateShare)
         return maxOf(0, ceil(nextTurn(target, turnMs, place) * turnMs).toLong() - place.wallMs)
     }
 
@@ -63,10 +65,13 @@
         return first + Math.floorMod(place.rank - offset - first, place.vmCount.toLong())
     }
 
-    private fun turnMs(requestsPerS: Double) = MS_PER_S / (effectiveRate(requestsPerS) * RATE_SHARE)
+    private fun turnMs(
+        requestsPerS: Double,
+        rateShare: Double,
+    ) = MS_PER_S / (effectiveRate(requestsPerS) * rateShare)
 
-    private companion object {
-        const val MS_PER_S = 1_000.0
+    companion object {
+        private const val MS_PER_S = 1_000.0
 
         /** The rest of the rate is for a coordinator that still issues permits to VMs on its side of a cut. */
         const val RATE_SHARE = 0.4
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/TargetRateLimits.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/TargetRateLimits.kt
@@ -19,12 +19,14 @@
  *
  * @property bornAtMs start time of the target's process, to which the limit applies; null if its entry states none
  * @property requestsPerS requests per second from all VMs together; null if the limit has been lifted
+ * @property isStrict true in a request for a permit if the [StrictLimit] applies
  */
 @Serializable
 data class TargetRateLimit(
     val target: TargetId,
     val bornAtMs: Long?,
     val requestsPerS: Double?,
+    val isStrict: Boolean = false,
 )
 
 /** Called for a genuine response that names no limit; `sentAtNs` is the monotonic time when its request was sent. */
@@ -33,10 +35,12 @@
 /**
  * Limits known to one VM. Not thread-safe.
  *
+ * @param coldStartsPerS requests per second that a target bears while it is cold; null unless it is
  * @param bornAtMs start time of a target's process according to its entry; null if unknown
  */
 class TargetRateLimits(
     private val clock: MonotonicClock,
+    private val coldStartsPerS: (TargetId) -> Double? = { null },
     private val bornAtMs: (TargetId) -> Long?,
 ) {
     private class Known(
@@ -48,19 +52,29 @@
     private val known = HashMap<TargetId, Known>()
     private val liftedAtMs = HashMap<TargetId, Long>()
 
-    /** Requests per second that [target] takes; null if it names no limit. */
-    fun of(target: TargetId): Double? = known[target]?.takeIf { it.bornAtMs == bornAtMs(target) }?.requestsPerS
+    /** Requests per second that may be sent to [target]: the lower of its named limit and its cold rate, if any. */
+    fun of(target: TargetId): Double? {
+        val named = named(target)
+        val cold = coldStartsPerS(target) ?: return named
+        return if (named == null) cold else minOf(named, cold)
+    }
+
+    /** True while [target] is cold, so that its limit must hold as [StrictLimit] describes. */
+    fun isStrict(target: TargetId): Boolean = coldStartsPerS(target) != null
+
+    /** Requests per second that [target] takes according to its responses; null if it names no limit. */
+    fun named(target: TargetId): Double? = known[target]?.takeIf { it.bornAtMs == bornAtMs(target) }?.requestsPerS
 
-    /** All limits in force. */
+    /** All named limits in force. */
     fun inForce(): List<TargetRateLimit> =
-        known.keys.mapNotNull { target -> of(target)?.let { TargetRateLimit(target, bornAtMs(target), it) } }
+        known.keys.mapNotNull { target -> named(target)?.let { TargetRateLimit(target, bornAtMs(target), it) } }
 
     /** Records that a response of [target] names a limit. Returns the change for the other VMs; null if none. */
     fun recordNamed(
         target: TargetId,
         requestsPerS: Double,
     ): TargetRateLimit? {
-        if (of(target) == requestsPerS) return null
+        if (named(target) == requestsPerS) return null
         set(target, requestsPerS, source = "response")
         return TargetRateLimit(target, bornAtMs(target), requestsPerS)
     }
@@ -81,7 +95,7 @@
 
     /** Applies what another VM knows; returns true if it is news. */
     fun onPeerLimit(limit: TargetRateLimit): Boolean {
-        if (limit.bornAtMs != bornAtMs(limit.target) || limit.requestsPerS == of(limit.target)) return false
+        if (limit.bornAtMs != bornAtMs(limit.target) || limit.requestsPerS == named(limit.target)) return false
         if (limit.requestsPerS == null) {
             lift(limit.target, source = "peer")
             return true
@@ -104,7 +118,7 @@
         source: String,
     ) {
         log.info {
-            "target limits its requests: target=$target per_s=$requestsPerS before=${of(target)} source=$source " +
+            "target limits its requests: target=$target per_s=$requestsPerS before=${named(target)} source=$source " +
                 "born_ms=${bornAtMs(target)}"
         }
         known[target] = Known(requestsPerS, bornAtMs(target), learnedAtMs = clock())
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
@@ -11,6 +11,7 @@
 import io.guavashore.api.Endpoint
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.VmId
+import io.guavashore.edge.cold.ColdNews
 import io.guavashore.edge.limits.TargetRateLimit
 import io.guavashore.net.FrameConnection
 import io.guavashore.net.ProcessLoop
@@ -57,6 +58,8 @@
 
     fun onTargetLeaving(leaving: PeerMessage.TargetLeaving)
 
+    fun onTargetCold(news: ColdNews)
+
     fun onRateLimits(limits: List<TargetRateLimit>)
 
     /** Executes a peer's call and returns the reply to it. */
@@ -174,6 +177,7 @@
             is PeerMessage.ChangesRequest -> connection.send(encode(events.onChangesRequest(message)))
             is PeerMessage.PartialTexts -> events.onPartialTexts(message)
             is PeerMessage.TargetLeaving -> events.onTargetLeaving(message)
+            is PeerMessage.TargetCold -> events.onTargetCold(message.news)
             is PeerMessage.RateLimits -> events.onRateLimits(message.limits)
             is PeerMessage.Call -> loop.scope.launch { handleCall(connection, message) }
             is PeerMessage.Reply -> linkOf(connection)?.onReply(message)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
@@ -12,6 +12,7 @@
 import io.guavashore.edge.batches.ItemId
 import io.guavashore.edge.batches.ResultPage
 import io.guavashore.edge.batches.TextPart
+import io.guavashore.edge.cold.ColdNews
 import io.guavashore.edge.limits.PermitDecision
 import io.guavashore.edge.limits.PermitRequest
 import io.guavashore.edge.limits.TargetRateLimit
@@ -143,6 +144,13 @@
         val bornAtMs: Long?,
     ) : PeerMessage
 
+    /** A target was reached again and may be cold. Sent only where its service declares a cold rate. */
+    @Serializable
+    @SerialName("k")
+    data class TargetCold(
+        val news: ColdNews,
+    ) : PeerMessage
+
     /** Limits that targets set on the rate of their requests, or that have been lifted. */
     @Serializable
     @SerialName("m")
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -86,10 +86,9 @@
         scope: CoroutineScope,
         fencingNumber: Long,
     ) {
-        val issuer = PermitIssuer(dependencies.targets.limits.rates, clock)
-        val permits =
-            dependencies.targets.limits.permits
-                .from(issuer)
+        val requestPermits = dependencies.targets.limits.permits
+        val issuer = PermitIssuer(dependencies.targets.limits.rates, clock, requestPermits.holdsLease)
+        val permits = requestPermits.from(issuer)
         val updater = weightUpdater(scope)
         val items = itemDispatcher(scope, updater, permits)
         val batches = batchRunner(scope, fencingNumber, items, scoreDispatcher(scope, items::wake, permits))
@@ -98,7 +97,7 @@
             CoordinatorTerm(
                 batches,
                 issuer,
-                dependencies.targets.limits.permits.mayIssue,
+                requestPermits.mayIssue,
                 dependencies.batchStore,
                 dependencies.call,
                 dependencies.ports.emptiedStatus,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -19,6 +19,8 @@
 import io.guavashore.edge.catalog.CatalogSync
 import io.guavashore.edge.catalog.VmRegistration
 import io.guavashore.edge.catalog.readVmRecord
+import io.guavashore.edge.cold.ColdNews
+import io.guavashore.edge.cold.ColdTargets
 import io.guavashore.edge.coordinator.Coordinator
 import io.guavashore.edge.coordinator.SuspensionDetector
 import io.guavashore.edge.coordinator.leaseStore
@@ -115,7 +117,7 @@
             decode = ports.decodeTarget,
             clock = clock,
             storeRecentlyUnavailable = { sync.storeRecentlyUnavailable() },
-            onFailure = { loop.scope.launch { reachability.verify() } },
+            onFailure = ::onTargetFailure,
         )
     private val sharedState = SharedState(ports, directory)
     private val sync: CatalogSync =
@@ -137,13 +139,14 @@
             onResponse = ::onTargetResponse,
         )
     private val loads = TargetLoads()
-    private val rateLimits = TargetRateLimits(clock, directory::bornAtMs)
+    private val coldTargets = ColdTargets(clock, directory::get) { sharedState.declaration?.services?.get(it) }
+    private val rateLimits = TargetRateLimits(clock, coldTargets::startsPerS, directory::bornAtMs)
     private val permits =
         RequestPermits(
             scope = loop.scope,
             limits = rateLimits,
             askCoordinator = ::askForPermits,
-            fleet = Fleet(vmRecord.vm, ::registeredVms, ::mayIssuePermits, medianClock::nowMs),
+            fleet = Fleet(vmRecord.vm, ::registeredVms, ::mayIssuePermits, ::holdsLease, medianClock::nowMs),
             clock = clock,
             wallClock = wallClock,
         )
@@ -225,7 +228,12 @@
             ),
         )
     private val processCheck =
-        ProcessCheck(directory, EngineControl(connections, ports.targets)::reportOver, permits::isLimited)
+        ProcessCheck(
+            directory,
+            EngineControl(connections, ports.targets)::reportOver,
+            isLimited = { rateLimits.named(it) != null },
+            awaitPermit = { permits.await(it, MAX_CHECK_WAIT_MS) },
+        )
     private val forwarder =
         Forwarder(
             chooser = TargetChooser(settings.zone, directory, loads, permits, streams.lookup, streams.admitted, clock),
@@ -341,6 +349,10 @@
         if (directory.recordLeaving(leaving.target, leaving.bornAtMs)) coordinatorTasks.onSharedStateChanged()
     }
 
+    override fun onTargetCold(news: ColdNews) {
+        if (coldTargets.onNews(news)) coordinatorTasks.onSharedStateChanged()
+    }
+
     override fun onRateLimits(limits: List<TargetRateLimit>) = this.limits.onPeerLimits(limits)
 
     private suspend fun askForPermits(requests: List<PermitRequest>): List<PermitDecision>? =
@@ -355,10 +367,18 @@
     private fun registeredVms(): List<VmId> =
         catalog.entries(SharedCollections.VMS).mapNotNull { readVmRecord(it.content)?.vm }
 
+    private fun holdsLease() = coordinator.holdsLease()
+
+    private fun onTargetFailure(target: TargetId) {
+        coldTargets.onFailure(target)
+        loop.scope.launch { reachability.verify() }
+    }
+
     private fun onTargetResponse(
         target: TargetId,
         response: ReceivedResponse,
     ) {
+        coldTargets.onResponse(target)?.let { mesh.broadcast(PeerMessage.TargetCold(it)) }
         limits.onResponse(target, response.metadata.rate)
         if (!ports.targets.announcesLeaving(response.head)) return
         val bornAtMs = directory.bornAtMs(target)
@@ -411,11 +431,21 @@
         if (collection == SharedCollections.VMS) changes.forEach(::applyVmChange)
         if (collection == SUSPECT_REQUESTS) suspects.onStoreChanges(changes)
         if (collection == SharedCollections.TARGETS) {
+            changes
+                .filterNot { it.deleted }
+                .mapNotNull {
+                    directory[
+                        TargetId(
+                            it.entry.name,
+                        ),
+                    ]
+                }.forEach(coldTargets::onEntry)
             val targets = directory.all().mapTo(HashSet()) { it.id }
             connections.retain(targets)
             streams.onTargetsChanged()
             suspects.runs.onTargetsChanged()
             rateLimits.retain(targets)
+            coldTargets.retain(targets)
             processCheck.retain(targets)
         }
         coordinatorTasks.onSharedStateChanged()
@@ -433,6 +463,7 @@
             exchange.respond(HttpResponseMessage(if (ready) OK else UNAVAILABLE))
         }.listen(settings.readiness)
         val address = settings.metrics ?: return
+        metrics.gauge("targets.cold") { coldTargets.count.toDouble() }
         HttpServer(loop, { CallerLimits() }) { exchange ->
             exchange.respond(HttpResponseMessage(OK, body = metrics.scrape().encodeToByteArray()))
         }.listen(address)
@@ -448,6 +479,9 @@
         /** Far above a round trip between regions; without a reply, this VM uses its turns. */
         const val PERMITS_TIMEOUT_MS = 300L
 
+        /** A stream that could wait longer for the check of a cold target goes to another one. */
+        const val MAX_CHECK_WAIT_MS = 100L
+
         /** The load balancer checks once a second and removes a VM after two failed checks. */
         const val LOAD_BALANCER_DELAY_MS = 2_600L
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ProcessCheck.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ProcessCheck.kt
@@ -15,6 +15,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.TargetId
 import io.guavashore.edge.declared.TargetEntry
+import io.guavashore.edge.limits.Permit
 import io.guavashore.net.HttpConnection
 
 private val log = KotlinLogging.logger {}
@@ -28,6 +29,8 @@
     private val reportOver: ReportOver,
     /** Targets that limit their requests are not checked, since a report counts as a request. */
     private val isLimited: (TargetId) -> Boolean,
+    /** Permits for reports of targets that are cold, which have often just restarted and so are checked. */
+    private val awaitPermit: AwaitPermit = { Permit(it) },
 ) {
     /** For each target, the connection over which it was checked last. */
     private val checkedOver = HashMap<TargetId, HttpConnection>()
@@ -44,6 +47,11 @@
         val listedMs = target.bornAtMs
         if (listedMs == null || target.versions.isEmpty() || isLimited(target.id)) return true
         if (connection.serverBornAtMs == listedMs || (!resumesStream && isChecked(target.id, listedMs))) return true
+        val permit = awaitPermit(target.id)
+        if (permit == null || !permit.isValid()) {
+            log.info { "target not checked, no room within the limit: target=${target.id}" }
+            return false
+        }
         val report = reportOver(target, connection)
         if (!connection.isReusable(System.nanoTime())) return false
         val statedMs = report?.bornAtMs ?: listedMs
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
@@ -27,7 +27,7 @@
     private val clock: MonotonicClock,
     private val storeRecentlyUnavailable: () -> Boolean,
     /** Called after each failure of a target to accept a connection or to respond. */
-    private val onFailure: () -> Unit = {},
+    private val onFailure: (TargetId) -> Unit = {},
 ) {
     private val entries = HashMap<TargetId, TargetEntry>()
     private val graceUntilMs = HashMap<TargetId, Long>()
@@ -114,7 +114,7 @@
         val forMs = minOf(MAX_SUSPICION_MS, MIN_SUSPICION_MS shl minOf(count - 1, MAX_DOUBLINGS))
         suspectUntilMs[id] = clock() + forMs
         log.info { "target suspected: target=$id failures=$count for_ms=$forMs" }
-        onFailure()
+        onFailure(id)
     }
 
     fun recordSuccess(id: TargetId) {
