Tests of cold targets; a permit without limit ends when its target turns cold

Cause: a request may wait for a connection to a target that lies dark and comes back cold; its permit was without end. Change: such permits are checked again before sending. A coordinator without the lease issues none for cold targets, decided per call.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorTerm.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorTerm.kt
@@ -16,6 +16,7 @@
 import io.guavashore.edge.batches.ItemPhase
 import io.guavashore.edge.batches.StoredBatch
 import io.guavashore.edge.limits.PermitIssuer
+import io.guavashore.edge.limits.RequestPermits
 import io.guavashore.edge.peers.PeerCall
 import io.guavashore.edge.peers.PeerReply
 import io.guavashore.platform.CallStore
@@ -31,7 +32,7 @@
 class CoordinatorTerm(
     private val runner: BatchRunner,
     private val permits: PermitIssuer,
-    private val mayIssuePermits: () -> Boolean,
+    private val requestPermits: RequestPermits,
     private val store: BatchStore,
     private val call: CallStore,
     private val emptiedStatus: String,
@@ -125,7 +126,11 @@
     }
 
     private fun issuePermits(call: PeerCall.Permits): PeerReply =
-        if (mayIssuePermits()) PeerReply.Permits(call.requests.map(permits::decide)) else PeerReply.NotHere
+        if (requestPermits.mayIssue()) {
+            PeerReply.Permits(call.requests.map { permits.decide(it, requestPermits.holdsLease()) })
+        } else {
+            PeerReply.NotHere
+        }
 
     private suspend fun readBatch(call: PeerCall.ReadBatch): PeerReply {
         val batch = runner[call.batch] ?: return readEnded(call)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
@@ -4,7 +4,7 @@
  * Load pattern: some targets of a service limit their requests to a fraction of what arrives. A target without a limit
  * takes what it has slots for. Beyond that, the limited ones take what their limits allow, and a call that finds no
  * room waits for the next permit if that comes in time. Any other call is refused at once, with the time of the next
- * permit.
+ * permit. A target is also limited while it is cold.
  */
 package io.guavashore.edge.forward
 
@@ -77,7 +77,7 @@
         return awaitPermit(call, (outcome as PermitOutcome.Obtained).permit)
     }
 
-    private fun chosen(target: TargetEntry) = TargetChoice.Chosen(target, Permit(target.id))
+    private fun chosen(target: TargetEntry) = TargetChoice.Chosen(target, permits.unlimited(target.id))
 
     private suspend fun awaitPermit(
         call: ForwardedCall,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/PermitIssuer.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/PermitIssuer.kt
@@ -14,15 +14,10 @@
 
 private val log = KotlinLogging.logger {}
 
-/**
- * Issuer of one term of the coordinator; its schedules start empty. Not thread-safe.
- *
- * @param holdsLease false if another VM may be coordinator, so that no permits for cold targets are issued
- */
+/** Issuer of one term of the coordinator; its schedules start empty. Not thread-safe. */
 class PermitIssuer(
     private val limits: TargetRateLimits,
     private val clock: MonotonicClock,
-    private val holdsLease: () -> Boolean = { true },
 ) {
     private class Schedule(
         val permits: PermitSchedule,
@@ -59,8 +54,14 @@
         return true
     }
 
-    /** Decides on [request]: the candidate that has room first, the preferred one if several have. */
-    fun decide(request: PermitRequest): PermitDecision {
+    /**
+     * Decides on [request]: the candidate that has room first, the preferred one if several have. Cold targets are none
+     * of the candidates unless this VM [holdsLease].
+     */
+    fun decide(
+        request: PermitRequest,
+        holdsLease: Boolean = true,
+    ): PermitDecision {
         val now = clock()
         val unlimited = request.candidates.firstOrNull { rateOf(it) == null }
         if (unlimited != null) {
@@ -69,7 +70,7 @@
         }
         val byTime =
             request.candidates
-                .filter { !isStrict(it) || holdsLease() }
+                .filter { !isStrict(it) || holdsLease }
                 .map { it to schedule(it) }
                 .sortedBy { (_, schedule) -> schedule.permits.earliestMs(now) }
         if (byTime.isEmpty()) return refuseWithoutLease(request)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
@@ -79,6 +79,9 @@
     /** True if requests to [target] need a permit. */
     fun isLimited(target: TargetId): Boolean = limits.of(target) != null
 
+    /** Permit for a target that limits nothing; it ends if the target turns cold while a connection is opened. */
+    fun unlimited(target: TargetId) = Permit(target) { !limits.isStrict(target) }
+
     /** Obtains a permit for one of [candidates], preferred ones first, that may be used within [maxWaitMs]. */
     suspend fun obtain(
         candidates: List<TargetId>,
@@ -100,7 +103,7 @@
         target: TargetId,
         maxWaitMs: Long,
     ): Permit? {
-        if (!isLimited(target)) return Permit(target)
+        if (!isLimited(target)) return unlimited(target)
         val outcome = obtain(listOf(target), maxWaitMs) as? PermitOutcome.Obtained ?: return null
         delay(outcome.permit.notBeforeMs - clock())
         return outcome.permit
@@ -152,7 +155,7 @@
         fromMs: Long,
         fromWallMs: Long,
     ): Permit {
-        if (!isLimited(target)) return Permit(target)
+        if (!isLimited(target)) return unlimited(target)
         val validityMs = if (limits.isStrict(target)) StrictLimit.VALIDITY_MS else VALIDITY_MS
         return Permit(target, notBeforeMs) {
             clock() <= fromMs + validityMs && wallClock() <= fromWallMs + validityMs
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -87,7 +87,7 @@
         fencingNumber: Long,
     ) {
         val requestPermits = dependencies.targets.limits.permits
-        val issuer = PermitIssuer(dependencies.targets.limits.rates, clock, requestPermits.holdsLease)
+        val issuer = PermitIssuer(dependencies.targets.limits.rates, clock)
         val permits = requestPermits.from(issuer)
         val updater = weightUpdater(scope)
         val items = itemDispatcher(scope, updater, permits)
@@ -97,7 +97,7 @@
             CoordinatorTerm(
                 batches,
                 issuer,
-                requestPermits.mayIssue,
+                requestPermits,
                 dependencies.batchStore,
                 dependencies.call,
                 dependencies.ports.emptiedStatus,
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/PlacementTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/PlacementTest.kt
@@ -41,6 +41,22 @@
             assertEquals("fast", placeItems(step.items.map(::demand), engines).single().engine.value)
         }
 
+        @Test
+        fun `a step that meets a cold zone fills the warm engines first, and cold ones get what they bear`() {
+            val step = batch("b", List(128) { itemSpec("i$it") })
+            val warm = List(12) { engine("warm$it", slots = 8) }
+            val cold = List(12) { engine("cold$it", slots = 8).copy(isCold = true, startsAllowed = 1) }
+            val few = placeItems(step.items.take(96).map(::demand), warm + cold)
+            assertEquals(96, few.count { it.engine.value.startsWith("warm") })
+            val all = placeItems(step.items.map(::demand), warm + cold)
+            assertEquals(
+                96 to 12,
+                all.count { it.engine.value.startsWith("warm") } to all.count { it.engine.value.startsWith("cold") },
+            )
+            val running = demand(step.items.first())
+            assertNull(betterEngine(running, engine("slow", running = 1, msPerEvent = 900.0), cold))
+        }
+
         @Test
         fun `items of the batch that is due first are placed first`() {
             val late = batch("late", listOf(itemSpec("l")), dueAtMs = 9_000)
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/limits/RequestPermitsTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/limits/RequestPermitsTest.kt
@@ -77,6 +77,25 @@
             assertFalse(assertNotNull(decidedLate.await(target, maxWaitMs = 0)).isValid())
         }
 
+    @Test
+    fun `a permit for a cold target expires soon, and one without limit ends when the target turns cold`() =
+        runTest {
+            var coldPerS: Double? = null
+            val permits = permits(TargetRateLimits({ currentTime }, { coldPerS }) { 1L }, ask = granting())
+            val unlimited = assertNotNull(permits.await(target, maxWaitMs = 0))
+            assertTrue(unlimited.isValid())
+            coldPerS = 7.6
+            assertFalse(unlimited.isValid())
+            val cold = assertNotNull(permits.await(target, maxWaitMs = 0))
+            assertTrue(cold.isValid())
+            delay(StrictLimit.VALIDITY_MS)
+            assertFalse(cold.isValid())
+            wallOffsetMs += 5_000
+            val suspended = assertNotNull(permits.await(target, maxWaitMs = 0))
+            wallOffsetMs += 5_000
+            assertFalse(suspended.isValid())
+        }
+
     @Test
     fun `without a coordinator the VMs take turns`() =
         runTest {
