--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/RequestPermits.kt
@@ -146,8 +146,8 @@
     }
 
     /**
-     * Permit that is valid from [fromMs] or [fromWallMs] for a short time. It expires by either clock: the monotonic one
-     * stands still while the VM is suspended.
+     * Permit that is valid for a short time from [fromMs] and [fromWallMs]. It expires by either clock: the monotonic
+     * one stands still while the VM is suspended.
      */
     private fun permit(
         target: TargetId,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/StrictLimit.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/limits/StrictLimit.kt
@@ -4,7 +4,8 @@
  * Load pattern: the engines of an availability zone come back cold while a step waits for them; a cold target ends if
  * it gets much more than its rate, so neither a cut nor a change of the coordinator may let two VMs hand out the same
  * room. A permit is used up to [StrictLimit.VALIDITY_MS] after its time, so the permits of 1.2 s may be used within one
- * second. At a rate R, these are 1.2 R + 1 permits of the coordinator and, from VMs that don't reach it, 0.3 R + 2 turns.
+ * second. At a rate R, these are 1.2 R + 1 permits of the coordinator and, from VMs that don't reach it, 0.3 R + 2
+ * turns.
  *
  * A coordinator issues such permits only while it holds the lease, and no earlier in its term than the last permit of
  * its predecessor has expired.
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -117,7 +117,10 @@
             decode = ports.decodeTarget,
             clock = clock,
             storeRecentlyUnavailable = { sync.storeRecentlyUnavailable() },
-            onFailure = ::onTargetFailure,
+            onFailure = { target ->
+                coldTargets.onFailure(target)
+                loop.scope.launch { reachability.verify() }
+            },
         )
     private val sharedState = SharedState(ports, directory)
     private val sync: CatalogSync =
@@ -139,14 +142,22 @@
             onResponse = ::onTargetResponse,
         )
     private val loads = TargetLoads()
-    private val coldTargets = ColdTargets(clock, directory::get) { sharedState.declaration?.services?.get(it) }
+    private val coldTargets: ColdTargets =
+        ColdTargets(clock, directory::get) { sharedState.declaration?.services?.get(it) }
     private val rateLimits = TargetRateLimits(clock, coldTargets::startsPerS, directory::bornAtMs)
     private val permits =
         RequestPermits(
             scope = loop.scope,
             limits = rateLimits,
             askCoordinator = ::askForPermits,
-            fleet = Fleet(vmRecord.vm, ::registeredVms, ::mayIssuePermits, ::holdsLease, medianClock::nowMs),
+            fleet =
+                Fleet(
+                    vmRecord.vm,
+                    catalog::registeredVms,
+                    ::mayIssuePermits,
+                    { coordinator.holdsLease() },
+                    medianClock::nowMs,
+                ),
             clock = clock,
             wallClock = wallClock,
         )
@@ -364,16 +375,6 @@
         return coordinator.holdsLease() || (mesh.alive().size + 1) * 2 > catalog.entries(SharedCollections.VMS).size
     }
 
-    private fun registeredVms(): List<VmId> =
-        catalog.entries(SharedCollections.VMS).mapNotNull { readVmRecord(it.content)?.vm }
-
-    private fun holdsLease() = coordinator.holdsLease()
-
-    private fun onTargetFailure(target: TargetId) {
-        coldTargets.onFailure(target)
-        loop.scope.launch { reachability.verify() }
-    }
-
     private fun onTargetResponse(
         target: TargetId,
         response: ReceivedResponse,
@@ -494,6 +495,9 @@
     }
 }
 
+private fun Catalog.registeredVms(): List<VmId> =
+    entries(SharedCollections.VMS).mapNotNull { readVmRecord(it.content)?.vm }
+
 /**
  * Sends changes of a collection to the peers. VMs of earlier versions close the connection on changes of a collection
  * that they don't know, so the peers ask for those of suspect requests once a heartbeat shows that there are any.
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ProcessCheck.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ProcessCheck.kt
@@ -48,12 +48,10 @@
         if (listedMs == null || target.versions.isEmpty() || isLimited(target.id)) return true
         if (connection.serverBornAtMs == listedMs || (!resumesStream && isChecked(target.id, listedMs))) return true
         val permit = awaitPermit(target.id)
-        if (permit == null || !permit.isValid()) {
-            log.info { "target not checked, no room within the limit: target=${target.id}" }
-            return false
-        }
-        val report = reportOver(target, connection)
-        if (!connection.isReusable(System.nanoTime())) return false
+        val mayAsk = permit != null && permit.isValid()
+        if (!mayAsk) log.info { "target not checked, no room within the limit: target=${target.id}" }
+        val report = if (mayAsk) reportOver(target, connection) else null
+        if (!mayAsk || !connection.isReusable(System.nanoTime())) return false
         val statedMs = report?.bornAtMs ?: listedMs
         connection.serverBornAtMs = statedMs
         checkedOver[target.id] = connection
