Operators can evacuate a zone

Operators could take single targets out of use, but no zone; an entry under `evacuations` was read by nobody.

Ruled out: permission from the coordinator for each request (a VM without a coordinator could serve nobody); cancelling all runs in the zone at once (a step's items would queue for full engines); counting requests at each sender (every request holds a connection of one pool, which knows its target's zone).

Change: where the settings carry `bounds.evacuate_ms`, VMs follow the collection `evacuations`. Targets of an evacuated zone are left out of `TargetDirectory.usable()`, and each sender looks again at the moment of sending. Items move to other zones in the dispatcher's order as far as there is room. The scaler leaves the zone out. The coordinator writes the entry's status once all live VMs know the entry's revision and none has a request in the zone; the write is conditional on that revision, so `StoreCall.ReplaceStatus` has an optional `expectedRevision`. Changes of the collection are not sent to peers unasked, as for suspect requests.

No check was removed or eased.

How it does under the platform's disruptions is not measured.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -77,6 +77,7 @@
             }
         try {
             if (!permit.isValid()) return RunOutcome.NotRun("permit expired", wasOffered = false)
+            if (directory.isEvacuated(engine)) return RunOutcome.NotRun("zone under evacuation", wasOffered = true)
             val record = item.batch.record
             val context = ForwardingContext(engine.id, record.organisation, deadlineInMs, item.progress.lastEventId)
             connection.send(protocol.itemRequest(item.spec, record.host, context), item.spec.id.value)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemDispatcher.kt
@@ -1,5 +1,6 @@
 /*
- * Runs items on engines: places waiting items, handles the outcomes of runs, and moves runs off slow engines.
+ * Runs items on engines: places waiting items, handles the outcomes of runs, and moves runs off slow engines and out of
+ * zones under evacuation.
  */
 package io.guavashore.edge.batches
 
@@ -71,7 +72,10 @@
         changed = CompletableDeferred()
     }
 
-    /** Starts those of the [waiting] items for which an engine has capacity. */
+    /**
+     * Starts those of the [waiting] items for which an engine has capacity. Runs in zones under evacuation compete with
+     * them in the same order, and are cancelled only if there is capacity for them elsewhere.
+     */
     fun step(
         waiting: List<ItemState>,
         declaration: EdgeDeclaration,
@@ -81,7 +85,8 @@
         val services by lazy(LazyThreadSafetyMode.NONE) { servicesWithTargets() }
         val ready = waiting.filter { it.notBeforeMs <= now }
         val demands = ready.mapNotNull { item -> demandOf(item, declaration, hasTargets = { it in services }) }
-        if (demands.isEmpty()) return
+        val evacuees = evacuees().mapNotNull { run -> demandOf(run.item, declaration, hasTargets = { it in services }) }
+        if (demands.isEmpty() && evacuees.isEmpty()) return
         val engines = engineViews(declaration)
         itemsToRestart(demands, engines, now, config).forEach { item ->
             log.info {
@@ -91,7 +96,24 @@
             }
             item.progress.clear()
         }
-        placeItems(demands, engines, config).forEach { start(it) }
+        placeItems(demands + evacuees, engines, config).forEach {
+            val run = runs[it.item]
+            if (run == null) start(it) else evacuate(run, it.engine)
+        }
+    }
+
+    private fun evacuees(): List<Run> = runs.values.filter { directory[it.engine]?.let(directory::isEvacuated) == true }
+
+    /** Cancels [run]; its item waits from then on, and the next step places it. */
+    private fun evacuate(
+        run: Run,
+        engine: TargetId,
+    ) {
+        log.info {
+            "moving item out of a zone under evacuation: item=${run.item.spec.id} batch=${run.item.batch.id} " +
+                "from=${run.engine} to=$engine events=${run.item.progress.size} ms=${clock() - run.startedMs}"
+        }
+        run.job?.cancel()
     }
 
     /** Cancels the run of [item], if there is one. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
@@ -46,6 +46,7 @@
     private val protocol: TargetProtocol,
     private val connections: TargetConnectionPool,
     private val onNoLimitNamed: OnNoLimitNamed = { _, _ -> },
+    private val isEvacuated: (TargetEntry) -> Boolean = { false },
     private val onLoadReported: (TargetEntry, ReportedLoad) -> Unit,
 ) {
     /**
@@ -68,6 +69,7 @@
             }
         try {
             if (!permit.isValid()) return ScoreOutcome.NotRun("permit expired", wasOffered = false)
+            if (isEvacuated(target)) return ScoreOutcome.NotRun("zone under evacuation", wasOffered = true)
             connection.send(
                 protocol.scoreRequest(
                     scorer,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/EngineScaler.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/EngineScaler.kt
@@ -19,12 +19,14 @@
  * @property running usable engines of a service in a zone
  * @property loadsPerSecond weight loads that the engines of a service can complete per second
  * @property versionIntervalMs time between two versions of one model
+ * @property evacuatedZones zones to whose engines nothing may be sent
  */
 class EngineDemandView(
     val openItems: (ServiceId) -> Int,
     val running: (ServiceId, ZoneId) -> Int,
     val loadsPerSecond: (ServiceId) -> Double,
     val versionIntervalMs: (ServiceId) -> Long,
+    val evacuatedZones: () -> Set<ZoneId> = { emptySet() },
 )
 
 /** Scales the engines of all services that declare scaling; runs on the coordinator. Not thread-safe. */
@@ -69,7 +71,7 @@
                     loadsPerSecond = view.loadsPerSecond(service.id),
                     versionIntervalMs = view.versionIntervalMs(service.id),
                 )
-            planEngineCounts(service.id, spec, demand).forEach { order(it, spec.bootMs) }
+            planEngineCounts(service.id, spec, demand, view.evacuatedZones()).forEach { order(it, spec.bootMs) }
         }
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/ScalePlan.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/duties/ScalePlan.kt
@@ -34,16 +34,18 @@
 
 /**
  * Desired number of engines in each zone. Engines are spread evenly, with the remainder in the cheapest zones, so that
- * the loss of a zone takes no more than its even share.
+ * the loss of a zone takes no more than its even share. Zones in [evacuated] get none.
  */
 fun planEngineCounts(
     service: ServiceId,
     spec: ScalingSpec,
     demand: EngineDemand,
+    evacuated: Set<ZoneId> = emptySet(),
     config: ScalingConfig = ScalingConfig(),
 ): List<TargetCount> {
     val zones =
         spec.priceByZone.entries
+            .filterNot { it.key in evacuated }
             .sortedWith(compareBy({ it.value }, { it.key }))
             .map { it.key }
     if (zones.isEmpty()) return emptyList()
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -158,9 +158,9 @@
                 relay.onTargetUnreachable()
                 return AttemptOutcome.NOT_SENT
             }
-        val isListed = call.route.kind != RouteKind.STREAMING || isListedProcess(call, target, connection)
+        val isReady = isReady(call, choice, connection)
         val leftMs = call.deadlineMs - clock()
-        if (!isListed || leftMs <= 0 || !choice.permit.isValid()) {
+        if (!isReady || leftMs <= 0) {
             connections.release(target.id, connection)
             return AttemptOutcome.NOT_SENT
         }
@@ -195,6 +195,19 @@
         }
     }
 
+    /** False if the call may no longer be sent, now that the connection is open and the process checked. */
+    private suspend fun isReady(
+        call: ForwardedCall,
+        choice: TargetChoice.Chosen,
+        connection: HttpConnection,
+    ): Boolean =
+        maySend(choice) &&
+            (call.route.kind != RouteKind.STREAMING || isListedProcess(call, choice.target, connection)) &&
+            maySend(choice)
+
+    /** The permit may have expired, or the target's zone been evacuated. */
+    private fun maySend(choice: TargetChoice.Chosen) = choice.permit.isValid() && !directory.isEvacuated(choice.target)
+
     /**
      * True for a request that may run once at most, and for one without an id: a late response to another such request
      * could not be told from the response to it.
@@ -327,7 +340,9 @@
                 call.stream.origin != null -> "no target runs ${call.stream.origin}, which began the stream"
                 else -> "no target of the service is available"
             }
-        errorResponder.refuse(call, UNAVAILABLE, reason, NO_TARGET_RETRY_AFTER_MS)
+        val zones = directory.evacuatedZonesOf(call.route.backends.mapTo(HashSet()) { it.service })
+        val evacuated = if (zones.isEmpty()) "" else ", zones under evacuation: ${zones.sorted().joinToString()}"
+        errorResponder.refuse(call, UNAVAILABLE, reason + evacuated, NO_TARGET_RETRY_AFTER_MS)
     }
 
     /** Wraps the result of an attempt, to distinguish a null outcome from a timeout. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
@@ -71,6 +71,7 @@
  * @property rateLimits limits of targets in force; empty unless the receiver has just started
  * @property suspects requests under which targets ended: those changed lately and those that may be refused
  * @property tracksSuspects true if the sender grants trials of suspect requests
+ * @property busyEvacuatedZones zones under evacuation in which requests of the sender still run
  */
 @Serializable
 data class Heartbeat(
@@ -87,6 +88,7 @@
     val rateLimits: List<TargetRateLimit> = emptyList(),
     val suspects: List<SuspectRecord> = emptyList(),
     val tracksSuspects: Boolean = false,
+    val busyEvacuatedZones: Set<ZoneId> = emptySet(),
 )
 
 /** Message on a connection between two VMs. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -1,5 +1,6 @@
 /*
- * Creates and starts the coordinator's tasks for each term: batches, weights, usage reports, scaling and retirements.
+ * Creates and starts the coordinator's tasks for each term: batches, weights, usage reports, scaling, retirements and
+ * evacuations.
  */
 package io.guavashore.edge.process
 
@@ -26,6 +27,8 @@
 import io.guavashore.edge.duties.LeaseGrant
 import io.guavashore.edge.duties.UsageCounters
 import io.guavashore.edge.duties.UsageReporter
+import io.guavashore.edge.evacuation.EvacuationReporter
+import io.guavashore.edge.evacuation.EvacuationView
 import io.guavashore.edge.forward.TargetLoads
 import io.guavashore.edge.limits.PermitIssuer
 import io.guavashore.edge.limits.PermitSource
@@ -61,6 +64,8 @@
     val targets: TargetComponents,
     val sharedState: SharedState,
     val usage: UsageCounters,
+    /** Null if zones can't be evacuated on this deployment. */
+    val evacuations: EvacuationView?,
 )
 
 /** Sends each standby VM the parts of the texts of [items] that [replicator] has not recorded as sent to that VM. */
@@ -109,6 +114,7 @@
         term = current
         scope.launchWithRestart("stored batches") { current.followBatches() }
         scope.launchWithRestart("retirements") { current.followRetirements(SharedCollections.RETIREMENTS) }
+        evacuationReporter()?.let { reporter -> scope.launchWithRestart("evacuations") { reporter.run() } }
         scope.launchWithRestart("expired batches") { current.deleteExpiredBatches() }
         scope.launchWithRestart("open batches") { batches.run() }
         scope.launchWithRestart("weights") { updater.run() }
@@ -191,6 +197,7 @@
                 dependencies.ports.targets,
                 dependencies.targets.connections,
                 dependencies.targets.limits::onNoLimitNamed,
+                dependencies.targets.directory::isEvacuated,
             ) { target, load -> dependencies.targets.loads.recordLoad(target.id, load, clock()) },
         targets = ScoringTargets(dependencies.targets.directory, dependencies.targets.loads),
         clock = clock,
@@ -206,7 +213,11 @@
             requirements = VersionRequirements({ dependencies.sharedState.publishedVersions }, ::minAcceptedVersion),
             directory = dependencies.targets.directory,
             control =
-                EngineControl(dependencies.targets.connections, dependencies.ports.targets) {
+                EngineControl(
+                    dependencies.targets.connections,
+                    dependencies.ports.targets,
+                    dependencies.targets.directory::isEvacuated,
+                ) {
                     dependencies.targets.limits.permits
                         .await(it, MAX_CONTROL_WAIT_MS)
                 },
@@ -248,6 +259,11 @@
         return (dueMs.minOrNull() ?: DEFAULT_DUE_MS) / 2
     }
 
+    private fun evacuationReporter() =
+        dependencies.evacuations?.let {
+            EvacuationReporter(it, dependencies.call, dependencies.ports.emptiedStatus, leaseGrant, clock)
+        }
+
     private fun streamRecordCleaner() =
         StreamRecordCleaner(
             call = dependencies.call,
@@ -275,6 +291,7 @@
                 },
                 loadsPerSecond = updater::loadsPerSecond,
                 versionIntervalMs = ::versionIntervalMs,
+                evacuatedZones = dependencies.evacuations?.zones ?: { emptySet() },
             ),
         port = dependencies.ports.coordinatorPort,
         leaseGrant = leaseGrant,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -24,6 +24,8 @@
 import io.guavashore.edge.coordinator.leaseStore
 import io.guavashore.edge.duties.MedianClock
 import io.guavashore.edge.duties.UsageCounters
+import io.guavashore.edge.evacuation.EvacuationPeers
+import io.guavashore.edge.evacuation.EvacuationTracking
 import io.guavashore.edge.forward.ErrorResponder
 import io.guavashore.edge.forward.Forwarder
 import io.guavashore.edge.forward.PeerRelay
@@ -102,20 +104,34 @@
     private val store = RelayingStore(ports.store, ::storeRelays, mesh::call, clock, metrics)
     private val catalog =
         Catalog(
-            listOf(
+            listOfNotNull(
                 SharedCollections.DECLARATION,
                 SharedCollections.TARGETS,
                 SharedCollections.PUBLISHED_VERSIONS,
                 SharedCollections.VMS,
                 SUSPECT_REQUESTS,
+                settings.evacuationBoundMs?.let { SharedCollections.EVACUATIONS },
             ),
         )
+
+    /** Null if zones can't be evacuated on this deployment. */
+    private val evacuations: EvacuationTracking? =
+        settings.evacuationBoundMs?.let {
+            EvacuationTracking(
+                EvacuationPeers(vmRecord.vm, mesh::alive, { store.isReachable }),
+                catalog,
+                zonesInUse = { connections.zonesInUse() },
+                clock,
+                metrics,
+            )
+        }
     private val directory: TargetDirectory =
         TargetDirectory(
             decode = ports.decodeTarget,
             clock = clock,
             storeRecentlyUnavailable = { sync.storeRecentlyUnavailable() },
             onFailure = { loop.scope.launch { reachability.verify() } },
+            isEvacuated = { evacuations?.isEvacuated(it) ?: false },
         )
     private val sharedState = SharedState(ports, directory)
     private val sync: CatalogSync =
@@ -170,6 +186,7 @@
                 TargetComponents(directory, connections, loads, EnginePace(), limits),
                 sharedState,
                 usage,
+                evacuations?.view,
             ),
             clock,
             medianClock::nowMs,
@@ -201,14 +218,20 @@
             clock = clock,
             wallClock = medianClock::nowMs,
         )
+    private val probe = probeBy(dial)
     private val reachability: TargetReachability =
-        TargetReachability(loop.scope, directory::usable, probeBy(dial), clock)
+        TargetReachability(loop.scope, directory::usable, probe, clock)
     private val suspects: SuspectTracking =
         SuspectTracking(
             scope = loop.scope,
             peers = SuspectPeers(vmRecord.vm, mesh::alive, mesh::call, mesh::pingAll, isStopping = { stopping }),
-            isKnown = { catalog.isKnown(SUSPECT_REQUESTS) },
-            evidence = TargetEvidence(directory::get, probeBy(dial), isCutOff = { reachability.isCutOff }),
+            isKnown = { catalog.isKnown(SUSPECT_REQUESTS) && evacuations?.isKnown != false },
+            evidence =
+                TargetEvidence(
+                    directory::get,
+                    { directory.isEvacuated(it) || probe(it) },
+                    { reachability.isCutOff },
+                ),
             store = store::call,
             clock = clock,
             medianTimeMs = medianClock::nowMs,
@@ -280,6 +303,7 @@
         loop.scope.launchWithRestart("suspect records") {
             suspects.cleanStore({ coordinator.isActive }, { catalog.entries(SUSPECT_REQUESTS) })
         }
+        evacuations?.let { loop.scope.launchWithRestart("evacuations") { it.watchContact() } }
         loop.scope.launchWithRestart("request limits") { limits.repeatToPeers { coordinator.isActive } }
     }
 
@@ -318,6 +342,7 @@
             rateLimits = limits.forHeartbeat(receiver),
             suspects = suspects.forHeartbeat(receiver),
             tracksSuspects = true,
+            busyEvacuatedZones = evacuations?.busyZones().orEmpty(),
         )
 
     override fun needsFastFailureDetection() = coordinator.holdsLease()
@@ -407,6 +432,7 @@
         collection: CollectionName,
         changes: List<EntryChange>,
     ) {
+        if (collection == SharedCollections.EVACUATIONS) evacuations?.apply(changes)
         sharedState.apply(collection, changes)
         if (collection == SharedCollections.VMS) changes.forEach(::applyVmChange)
         if (collection == SUSPECT_REQUESTS) suspects.onStoreChanges(changes)
@@ -462,9 +488,12 @@
 
 /**
  * Sends changes of a collection to the peers. VMs of earlier versions close the connection on changes of a collection
- * that they don't know, so the peers ask for those of suspect requests once a heartbeat shows that there are any.
+ * that they don't know, so the peers ask for those of later collections once a heartbeat shows that there are any.
  */
 private fun PeerMesh.publish(message: PeerMessage) {
-    val isSuspects = message is PeerMessage.CollectionChanges && message.collection == SUSPECT_REQUESTS
-    if (isSuspects) pingAll() else broadcast(message)
+    val isLater = message is PeerMessage.CollectionChanges && message.collection in LATER_COLLECTIONS
+    if (isLater) pingAll() else broadcast(message)
 }
+
+/** Collections that VMs of earlier versions don't know. */
+private val LATER_COLLECTIONS = setOf(SUSPECT_REQUESTS, SharedCollections.EVACUATIONS)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeSettings.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeSettings.kt
@@ -20,6 +20,8 @@
  * @property capacity CPU share of this VM; the coordinator is preferably a VM with a large one
  * @property stopGraceMs time between the stop signal and the kill signal
  * @property usageWindowMs length of a usage window
+ * @property evacuationBoundMs time within which no more requests are sent to targets of a zone that an operator
+ *   evacuates; null if zones can't be evacuated here
  */
 data class EdgeSettings(
     val vm: VmId,
@@ -34,4 +36,5 @@
     val capacity: Double = 1.0,
     val stopGraceMs: Long = 8_000,
     val usageWindowMs: Long = 5_000,
+    val evacuationBoundMs: Long? = null,
 )
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/PlatformPorts.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/PlatformPorts.kt
@@ -26,6 +26,9 @@
     /** Storage VMs that operators want to retire once they are empty. */
     val RETIREMENTS = CollectionName("retirements")
 
+    /** Zones whose targets operators want to be sent nothing; an object is named after its zone. */
+    val EVACUATIONS = CollectionName("evacuations")
+
     /** VMs of the system; each VM writes its own entry. */
     val VMS = CollectionName("vms")
 
@@ -45,7 +48,7 @@
     val decodeDeclaration: (StoredEntry) -> Result<EdgeDeclaration, String>,
     val decodeTarget: DecodeTarget,
     val decodePublishedVersion: (StoredEntry) -> PublishedVersion?,
-    /** Status written to the entry of a storage VM; it shows operators that the VM is empty. */
+    /** Status written to the entry of a storage VM or of an evacuated zone; it shows operators that it is empty. */
     val emptiedStatus: String,
     val callers: CallerProtocol,
     val targets: TargetProtocol,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/ConnectionPool.kt
@@ -69,7 +69,7 @@
     }
 
     /** Returns [connection] to the pool if it can be reused, else closes it. */
-    fun release(
+    open fun release(
         key: K,
         connection: HttpConnection,
     ) {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
@@ -21,6 +21,7 @@
 class EngineControl(
     private val connections: TargetConnectionPool,
     private val protocol: TargetProtocol,
+    private val isEvacuated: (TargetEntry) -> Boolean = { false },
     private val awaitPermit: AwaitPermit = { Permit(it) },
 ) {
     /** Returns the state of the engine; null if it did not respond in time or its response can't be decoded. */
@@ -78,6 +79,10 @@
         }
         val connection = connections.take(engine, requestId = null, forceNew)
         try {
+            if (isEvacuated(engine)) {
+                log.info { "control call not sent, zone under evacuation: engine=${engine.id} path=${message.path}" }
+                return null
+            }
             if (!maySend() || !permit.isValid()) {
                 log.warn { "control call not sent, lease or permit expired: engine=${engine.id} path=${message.path}" }
                 return null
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetDirectory.kt
@@ -11,6 +11,7 @@
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.ServiceId
 import io.guavashore.api.TargetId
+import io.guavashore.api.ZoneId
 import io.guavashore.edge.declared.ModelId
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.platform.EntryChange
@@ -28,6 +29,7 @@
     private val storeRecentlyUnavailable: () -> Boolean,
     /** Called after each failure of a target to accept a connection or to respond. */
     private val onFailure: () -> Unit = {},
+    private val isEvacuated: (ZoneId) -> Boolean = { false },
 ) {
     private val entries = HashMap<TargetId, TargetEntry>()
     private val graceUntilMs = HashMap<TargetId, Long>()
@@ -73,9 +75,16 @@
     /** All targets that may be sent requests. */
     fun usable(): List<TargetEntry> {
         removeExpired()
-        return entries.values.filterNot { it.isLeaving || it.id in leaving }
+        return entries.values.filterNot { it.isLeaving || it.id in leaving || isEvacuated(it) }
     }
 
+    /** True if nothing may be sent to [target] at present, since its zone is being evacuated. */
+    fun isEvacuated(target: TargetEntry): Boolean = isEvacuated(target.zone)
+
+    /** Zones under evacuation that contain targets of [services]. */
+    fun evacuatedZonesOf(services: Set<ServiceId>): Set<ZoneId> =
+        entries.values.filter { it.service in services && isEvacuated(it) }.mapTo(HashSet()) { it.zone }
+
     /** Start time of the process of target [id] according to its entry; null if unknown. */
     fun bornAtMs(id: TargetId): Long? = entries[id]?.bornAtMs
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightUpdater.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/weights/WeightUpdater.kt
@@ -217,7 +217,7 @@
         val deadlineMs = startedMs + LOAD_TIMEOUT_MS
         val concurrent = loading.size
         delay(EXPECTED_LOAD_MS)
-        while (clock() < deadlineMs && directory[entry.id] != null) {
+        while (clock() < deadlineMs && directory[entry.id]?.let(directory::isEvacuated) == false) {
             val report = fetchReport(entry)
             if (report != null && !report.isBusy) {
                 log.info {
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/duties/UsageAndScalingTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/duties/UsageAndScalingTest.kt
@@ -109,6 +109,7 @@
             items: Int?,
             present: Int = 8,
             loadsPerSecond: Double = 2.0,
+            evacuated: Set<ZoneId> = emptySet(),
         ): Map<String, Int> {
             val demand =
                 EngineDemand(
@@ -119,7 +120,7 @@
                     loadsPerSecond = loadsPerSecond,
                     versionIntervalMs = 3_750,
                 )
-            return planEngineCounts(ServiceId("s"), spec, demand).associate { it.zone.value to it.count }
+            return planEngineCounts(ServiceId("s"), spec, demand, evacuated).associate { it.zone.value to it.count }
         }
 
         @Test
@@ -145,5 +146,14 @@
         @Test
         fun `the cheapest zones get the remainder of engines that do not divide evenly among zones`() =
             assertEquals(mapOf("b" to 3, "d" to 2, "a" to 2, "c" to 2), counts(items = 1))
+
+        @Test
+        fun `the other zones get the share of a zone that is evacuated, within their bounds`() {
+            assertEquals(mapOf("d" to 3, "a" to 3, "c" to 3), counts(items = 1, evacuated = setOf(ZoneId("b"))))
+            assertEquals(
+                mapOf("c" to 6),
+                counts(items = 1, evacuated = setOf("a", "b", "d").mapTo(HashSet(), ::ZoneId)),
+            )
+        }
     }
 }
--- a/guavashore-platform/src/main/kotlin/io/guavashore/platform/CollectionStore.kt
+++ b/guavashore-platform/src/main/kotlin/io/guavashore/platform/CollectionStore.kt
@@ -86,12 +86,14 @@
         val expectedRevision: Long? = null,
     ) : StoreCall
 
+    /** Replaces an object's status; if [expectedRevision] is given, only while the object has this revision. */
     @Serializable
     @SerialName("status")
     data class ReplaceStatus(
         override val collection: CollectionName,
         val name: String,
         val status: String,
+        val expectedRevision: Long? = null,
     ) : StoreCall
 
     @Serializable
