--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
@@ -73,6 +73,7 @@
  * @property suspects requests under which targets ended: those changed lately and those that may be refused
  * @property tracksSuspects true if the sender grants trials of suspect requests
  * @property acceptsRepeated true if the sender understands [PeerMessage.RepeatedPing] and [PeerMessage.RepeatedPong]
+ * @property busyEvacuatedZones zones under evacuation in which requests of the sender still run
  */
 @Serializable
 data class Heartbeat(
@@ -90,6 +91,7 @@
     val suspects: List<SuspectRecord> = emptyList(),
     val tracksSuspects: Boolean = false,
     val acceptsRepeated: Boolean = false,
+    val busyEvacuatedZones: Set<ZoneId> = emptySet(),
 )
 
 /** Message on a connection between two VMs. */
