Targets that state their speed are chosen by expected completion, from reports that age and that VMs share

Cause: a load header with four figures was dropped, a VM knew only what it saw itself, and a report had no age. Ruled out: a change for targets that report three figures; for them the order is as before.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -236,7 +236,7 @@
         val response =
             connections.receiveHead(target.id, connection) ?: return rejectResponse(call, target, connection)
         val (head, metadata) = response
-        metadata.load?.let { loads.recordLoad(target.id, it, clock()) }
+        metadata.load?.let { loads.recordLoad(target, it, clock(), isRefusal = metadata.notRun) }
         if (metadata.notRun || head.status == MISDIRECTED) return handleNotRun(target, head.status, connection)
         recordUsageOnce(call)
         if (!metadata.isGenuine) return rejectResponse(call, target, connection)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetChooser.kt
@@ -51,6 +51,7 @@
     private val streamOrigins: StreamOriginLookup,
     private val admittedVersions: AdmittedVersions,
     private val clock: MonotonicClock,
+    private val observeLoadAgeMs: (Long) -> Unit = {},
 ) {
     /** Chooses a target that [call] has not tried. Suspends until the permit for it may be used. */
     suspend fun choose(call: ForwardedCall): TargetChoice {
@@ -60,12 +61,15 @@
         }
         val candidates = candidates(call)
         val (limited, free) = candidates.partition { permits.isLimited(it.id) }
-        val best = loads.pick(free, zone)
-        if (best != null && (limited.isEmpty() || !loads.isFull(best))) return chosen(best)
+        val best = loads.pick(free, zone, clock())
+        if (best != null && (limited.isEmpty() || !loads.isFull(best, clock()))) {
+            logChoice(call, best, free)
+            return chosen(best)
+        }
         if (limited.isEmpty()) return TargetChoice.NoTarget
         // A full target without a limit queues the call, which takes less time than waiting for a permit.
         val maxWaitMs = if (best == null) maxWaitMs(call) else 0
-        val outcome = permits.obtain(loads.byLoad(limited, zone).map { it.id }, maxWaitMs)
+        val outcome = permits.obtain(loads.byLoad(limited, zone, clock()).map { it.id }, maxWaitMs)
         if (outcome is PermitOutcome.NoRoom) {
             if (best != null) return chosen(best)
             log.info {
@@ -77,6 +81,20 @@
         return awaitPermit(call, (outcome as PermitOutcome.Obtained).permit)
     }
 
+    private fun logChoice(
+        call: ForwardedCall,
+        chosen: TargetEntry,
+        candidates: List<TargetEntry>,
+    ) {
+        if (!loads.stateSpeed(candidates)) return
+        val expected = loads.expected(candidates, clock())
+        expected.firstOrNull { it.target.id == chosen.id }?.ageMs?.let(observeLoadAgeMs)
+        log.info {
+            "target chosen by load: request=${call.metadata.requestId} target=${chosen.id} " +
+                "candidates=${expected.take(MAX_LOGGED_CANDIDATES)} of=${expected.size}"
+        }
+    }
+
     private fun chosen(target: TargetEntry) = TargetChoice.Chosen(target, Permit(target.id))
 
     private suspend fun awaitPermit(
@@ -121,5 +139,6 @@
     private companion object {
         /** Time reserved for the response of the target. */
         const val MIN_SERVICE_MS = 50L
+        const val MAX_LOGGED_CANDIDATES = 6
     }
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
@@ -15,6 +15,7 @@
 import io.guavashore.edge.limits.PermitDecision
 import io.guavashore.edge.limits.PermitRequest
 import io.guavashore.edge.limits.TargetRateLimit
+import io.guavashore.edge.loads.LoadNews
 import io.guavashore.edge.suspects.SuspectRecord
 import io.guavashore.leases.LeaseRecord
 import io.guavashore.platform.CollectionName
@@ -70,6 +71,7 @@
  * @property stopping true once the sender has been asked to stop
  * @property rateLimits limits of targets in force; empty unless the receiver has just started
  * @property suspects requests under which targets ended: those changed lately and those that may be refused
+ * @property loads load that targets reported to the sender lately; empty unless they state their speed
  * @property tracksSuspects true if the sender grants trials of suspect requests
  */
 @Serializable
@@ -87,6 +89,7 @@
     val rateLimits: List<TargetRateLimit> = emptyList(),
     val suspects: List<SuspectRecord> = emptyList(),
     val tracksSuspects: Boolean = false,
+    val loads: List<LoadNews> = emptyList(),
 )
 
 /** Message on a connection between two VMs. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -191,7 +191,7 @@
                 dependencies.ports.targets,
                 dependencies.targets.connections,
                 dependencies.targets.limits::onNoLimitNamed,
-            ) { target, load -> dependencies.targets.loads.recordLoad(target.id, load, clock()) },
+            ) { target, load -> dependencies.targets.loads.recordLoad(target, load, clock()) },
         targets = ScoringTargets(dependencies.targets.directory, dependencies.targets.loads),
         clock = clock,
         wallClock = medianTimeMs,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -228,7 +228,10 @@
         ProcessCheck(directory, EngineControl(connections, ports.targets)::reportOver, permits::isLimited)
     private val forwarder =
         Forwarder(
-            chooser = TargetChooser(settings.zone, directory, loads, permits, streams.lookup, streams.admitted, clock),
+            chooser =
+                TargetChooser(settings.zone, directory, loads, permits, streams.lookup, streams.admitted, clock) {
+                    metrics.record("target.load_age_ms", it.toDouble())
+                },
             relay = relay,
             access = TargetAccess(directory, connections, loads, processCheck),
             targets = ports.targets,
@@ -318,6 +321,7 @@
             rateLimits = limits.forHeartbeat(receiver),
             suspects = suspects.forHeartbeat(receiver),
             tracksSuspects = true,
+            loads = loads.news(clock(), ::hasPlainService),
         )
 
     override fun needsFastFailureDetection() = coordinator.holdsLease()
@@ -328,6 +332,7 @@
         heartbeat.leaseState?.let(coordinator::onLeaseState)
         limits.onHeartbeat(heartbeat)
         suspects.onHeartbeat(heartbeat)
+        loads.onNews(heartbeat.loads, clock())
         sync.changesToRequest(heartbeat).forEach { mesh.send(heartbeat.vmRecord.vm, it) }
     }
 
@@ -352,6 +357,13 @@
         return coordinator.holdsLease() || (mesh.alive().size + 1) * 2 > catalog.entries(SharedCollections.VMS).size
     }
 
+    /** True if [target] serves no models, so that all VMs send requests to it. */
+    private fun hasPlainService(target: TargetId): Boolean {
+        val service = directory[target]?.service ?: return false
+        val spec = sharedState.declaration?.services?.get(service) ?: return false
+        return spec.engine == null
+    }
+
     private fun registeredVms(): List<VmId> =
         catalog.entries(SharedCollections.VMS).mapNotNull { readVmRecord(it.content)?.vm }
 
@@ -360,6 +372,7 @@
         response: ReceivedResponse,
     ) {
         limits.onResponse(target, response.metadata.rate)
+        response.metadata.unreadableLoad?.let { loads.recordUnreadable(target, it) }
         if (!ports.targets.announcesLeaving(response.head)) return
         val bornAtMs = directory.bornAtMs(target)
         if (!directory.recordLeaving(target, bornAtMs)) return
@@ -416,6 +429,7 @@
             streams.onTargetsChanged()
             suspects.runs.onTargetsChanged()
             rateLimits.retain(targets)
+            loads.retain(targets)
             processCheck.retain(targets)
         }
         coordinatorTasks.onSharedStateChanged()
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/TargetProtocol.kt
@@ -33,6 +33,7 @@
  * @property requestId id of the request to which this is the response
  * @property weightVersion version of the weights at the beginning of the response
  * @property load requests that run and wait at the target
+ * @property unreadableLoad beginning of the stated load if it is malformed
  * @property rate what the response says about the rate of requests that the target takes
  * @property isAmbiguous true if the response states its receipt or a request id more than once
  */
@@ -44,15 +45,24 @@
     val load: ReportedLoad?,
     val rate: RateStatement = RateStatement.Unlimited,
     val isAmbiguous: Boolean = false,
+    val unreadableLoad: String? = null,
 ) {
     val isGenuine: Boolean get() = receipt != null
 }
 
-/** Load that a target reports: running requests, waiting requests, and slots for requests that run concurrently. */
+/**
+ * Load that a target reports.
+ *
+ * @property running number of requests that run
+ * @property waiting number of requests that wait
+ * @property slots number of requests that run concurrently at most
+ * @property slowdown duration of work now, relative to the usual one; null if the target does not state it
+ */
 data class ReportedLoad(
     val running: Int,
     val waiting: Int,
     val slots: Int,
+    val slowdown: Double? = null,
 )
 
 /**
