Callers that find all targets full are told to retry at the rate at which slots are freed

Cause: the time to retry was a constant, so callers returned together, and the priority of routes and organisations was not used. Ruled out: a share of the room kept for those who return on time, which all VMs would have to agree on. Conclusion: replaces the constants where targets state their speed.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/declared/EdgeDeclaration.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/declared/EdgeDeclaration.kt
@@ -128,6 +128,7 @@
 /**
  * One version of the declaration.
  *
+ * @property priorityByOrganisation goes before the priority of the route; 0 is the most urgent
  * @property requiresKeys true if callers need an API key on routes that are not public, even while no key is left
  */
 class EdgeDeclaration(
@@ -137,6 +138,7 @@
     val organisationByKey: Map<String, OrganisationId>,
     val requiresKeys: Boolean,
     val limits: CallerLimits,
+    val priorityByOrganisation: Map<OrganisationId, Int> = emptyMap(),
 ) {
     private val routesByHost: Map<String, List<Route>> =
         routes.groupBy { it.host }.mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/ErrorResponder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/ErrorResponder.kt
@@ -15,18 +15,23 @@
     private val callers: CallerProtocol,
     private val metrics: Metrics,
 ) {
-    /** Responds that the request has not run; [retryAfterMs] is the time after which to retry, null if unknown. */
+    /**
+     * Responds that the request has not run; [retryAfterMs] is the time after which to retry, null if unknown, and
+     * [reason] the label by which refusals are counted.
+     */
     fun refuse(
         call: ForwardedCall,
         status: Int,
         message: String,
         retryAfterMs: Long?,
+        reason: String = "other",
     ) {
         log.info {
             "request refused: request=${call.metadata.requestId} status=$status reason=$message " +
                 "sent=${call.attempts.sent} begun=${call.exchange.hasBegun}"
         }
         count(call, "refused")
+        metrics.count("request.refusals", "reason" to reason)
         respond(call, callers.refusal(status, message, retryAfterMs, call.metadata))
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/ForwardedCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/ForwardedCall.kt
@@ -32,6 +32,12 @@
         RequestFingerprint.of(organisation ?: OrganisationId(""), head.toByteArray() + request.body)
     }
     var attempts = Attempts()
+
+    /** Outcome of the last attempt that failed. */
+    var lastOutcome: AttemptOutcome? = null
+
+    /** Monotonic time at which the last attempt was sent. */
+    var sentAtMs = 0L
     var usageRecorded = false
 
     /** True if a target's response was received completely. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -60,6 +60,7 @@
     private val errorResponder: ErrorResponder,
     private val suspects: SuspectTracking,
     private val observer: ResponseObserver,
+    private val full: FullServices,
     private val clock: MonotonicClock,
 ) {
     private val directory = access.directory
@@ -83,6 +84,10 @@
         call: ForwardedCall,
         trial: Trial?,
     ): Boolean {
+        if (full.isKnownFull(call)) {
+            refuseFull(call, "all targets are known to be full", "known_full")
+            return false
+        }
         val choice = chooser.choose(call)
         if (choice !is TargetChoice.Chosen) {
             respondUnplaced(call, choice)
@@ -100,13 +105,20 @@
         return true
     }
 
+    /** Refuses a request that found no room at targets. */
+    private fun refuseFull(
+        call: ForwardedCall,
+        message: String,
+        reason: String,
+    ) = errorResponder.refuse(call, UNAVAILABLE, message, full.retryAfterMs(call) ?: FULL_RETRY_AFTER_MS, reason)
+
     /** Refuses a request since equal ones have ended targets. */
     private fun refuseSuspect(
         call: ForwardedCall,
         retryAfterMs: Long,
     ) {
         if (call.attempts.mayHaveRun > 0) return errorResponder.fail(call, call.deadlineMs - clock())
-        errorResponder.refuse(call, UNAVAILABLE, "targets ended while they ran this request", retryAfterMs)
+        errorResponder.refuse(call, UNAVAILABLE, "targets ended while they ran this request", retryAfterMs, "suspect")
     }
 
     /** Relays [call] to peers until one of them has responded or no further attempt is allowed. */
@@ -127,6 +139,7 @@
         attempted: String,
     ): Boolean {
         call.attempts = call.attempts.after(outcome)
+        call.lastOutcome = outcome
         val leftMs = call.deadlineMs - clock()
         val next = afterAttempt(call.route, call.attempts, outcome, leftMs)
         log.info {
@@ -134,7 +147,7 @@
         }
         when (next) {
             NextStep.TRY_ANOTHER -> return true
-            NextStep.REFUSE -> errorResponder.refuse(call, UNAVAILABLE, "all targets are full", FULL_RETRY_AFTER_MS)
+            NextStep.REFUSE -> refuseFull(call, "all targets are full", "full")
             NextStep.FAIL -> errorResponder.fail(call, leftMs)
         }
         return false
@@ -177,6 +190,7 @@
                     leftMs,
                     call.lastEventId,
                 )
+            call.sentAtMs = clock()
             connection.send(targets.forwardedRequest(call.exchange.request, context), call.metadata.requestId)
             return withTimeoutOrNull(timeoutMs) { CompletedAttempt(handleResponse(call, target, connection)) }
                 .let { if (it == null) timedOut(call, target) else it.outcome }
@@ -236,7 +250,8 @@
         val response =
             connections.receiveHead(target.id, connection) ?: return rejectResponse(call, target, connection)
         val (head, metadata) = response
-        metadata.load?.let { loads.recordLoad(target, it, clock(), isRefusal = metadata.notRun) }
+        val isRefusal = metadata.notRun && head.status == UNAVAILABLE
+        metadata.load?.let { loads.recordLoad(target, it, clock(), isRefusal) }
         if (metadata.notRun || head.status == MISDIRECTED) return handleNotRun(target, head.status, connection)
         recordUsageOnce(call)
         if (!metadata.isGenuine) return rejectResponse(call, target, connection)
@@ -275,6 +290,7 @@
             return AttemptOutcome.UNCERTAIN
         }
         directory.recordSuccess(target.id)
+        full.onCompleted(call.route, target, clock() - call.sentAtMs)
         call.passOn(response, ResponseSender.Target(target), targets.responseHeaders(head), body)
         errorResponder.count(call, "answered")
         return null
@@ -319,7 +335,11 @@
     ) {
         if (call.attempts.mayHaveRun > 0) return errorResponder.fail(call, call.deadlineMs - clock())
         if (choice is TargetChoice.RateLimited) {
-            return errorResponder.refuse(call, UNAVAILABLE, "all targets limit their requests", choice.retryAfterMs)
+            val message = "all targets limit their requests"
+            return errorResponder.refuse(call, UNAVAILABLE, message, choice.retryAfterMs, "rate_limited")
+        }
+        if (choice is TargetChoice.NoTarget && full.refused(call)) {
+            return refuseFull(call, "all targets are full", "full")
         }
         val reason =
             when {
@@ -327,7 +347,7 @@
                 call.stream.origin != null -> "no target runs ${call.stream.origin}, which began the stream"
                 else -> "no target of the service is available"
             }
-        errorResponder.refuse(call, UNAVAILABLE, reason, NO_TARGET_RETRY_AFTER_MS)
+        errorResponder.refuse(call, UNAVAILABLE, reason, NO_TARGET_RETRY_AFTER_MS, "no_target")
     }
 
     /** Wraps the result of an attempt, to distinguish a null outcome from a timeout. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetLoads.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/TargetLoads.kt
@@ -145,6 +145,23 @@
         nowMs: Long,
     ): List<ExpectedLoad> = reports.expected(targets, ::ownRequests, nowMs)
 
+    /**
+     * True if the latest word of each of [targets] was a refusal with all slots taken, and none can have freed a slot
+     * since; an undisturbed request takes [serviceMs].
+     */
+    internal fun haveNoRoom(
+        targets: List<TargetEntry>,
+        serviceMs: Double,
+        nowMs: Long,
+    ): Boolean =
+        targets.all { target ->
+            val report = reports.of(target) ?: return false
+            val slowdown = report.load.slowdown ?: return false
+            val slots = target.slots.coerceAtLeast(1)
+            val ageMs = nowMs - report.receivedAtMs
+            report.isRefusal && report.load.running >= slots && ageMs < serviceMs * slowdown / slots
+        }
+
     internal fun reportOf(target: TargetEntry): LoadReport? = reports.of(target)
 
     private fun ownRequests(target: TargetId) = inFlight[target] ?: 0
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/loads/ExpectedLoad.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/loads/ExpectedLoad.kt
@@ -1,9 +1,9 @@
 /*
  * Load that targets are expected to have now, from reports of different ages.
  *
- * Load pattern: a target is disturbed by its neighbours for half a second. A report of some tens of milliseconds tells of
- * it, one of seconds does not. Both good and bad news therefore fade with age: first toward the mean of the service's
- * targets, and to what is usual once no target has been heard of.
+ * Load pattern: a target is disturbed by its neighbours for half a second. A report of some tens of milliseconds tells
+ * of it, one of seconds does not. Both good and bad news therefore fade with age: first toward the mean of the
+ * service's targets, and to what is usual once no target has been heard of.
  */
 package io.guavashore.edge.loads
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/loads/LoadReports.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/loads/LoadReports.kt
@@ -1,8 +1,8 @@
 /*
  * Newest report of each target's load, received from the target itself or from a peer.
  *
- * A report ends with the process that sent it. Only reports that this VM received itself are sent to peers, so that none
- * travels on after its time. Their number in a message has a bound.
+ * A report ends with the process that sent it. Only reports that this VM received itself are sent to peers, so that
+ * none travels on after its time. Their number in a message has a bound.
  */
 package io.guavashore.edge.loads
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -26,7 +26,9 @@
 import io.guavashore.edge.duties.UsageCounters
 import io.guavashore.edge.forward.ErrorResponder
 import io.guavashore.edge.forward.Forwarder
+import io.guavashore.edge.forward.FullServices
 import io.guavashore.edge.forward.PeerRelay
+import io.guavashore.edge.forward.RefusalContext
 import io.guavashore.edge.forward.RelayWhileCutOff
 import io.guavashore.edge.forward.ResponseObserver
 import io.guavashore.edge.forward.TargetAccess
@@ -237,6 +239,18 @@
             targets = ports.targets,
             errorResponder = ErrorResponder(ports.callers, metrics),
             suspects = suspects,
+            full =
+                FullServices(
+                    loads,
+                    RefusalContext(
+                        targetsOf = { route ->
+                            route.backends.filter { it.weight > 0 }.flatMap { directory.usable(it.service) }
+                        },
+                        priorityOf = { sharedState.declaration?.priorityByOrganisation?.get(it) ?: 0 },
+                        vms = { catalog.entries(SharedCollections.VMS).size },
+                    ),
+                    clock,
+                ),
             observer = ResponseObserver(usage::count, limits::onNoLimitNamed, streams.origins::record),
             clock = clock,
         )
@@ -321,7 +335,7 @@
             rateLimits = limits.forHeartbeat(receiver),
             suspects = suspects.forHeartbeat(receiver),
             tracksSuspects = true,
-            loads = loads.news(clock(), ::hasPlainService),
+            loads = loads.news(clock(), sharedState::hasPlainService),
         )
 
     override fun needsFastFailureDetection() = coordinator.holdsLease()
@@ -357,13 +371,6 @@
         return coordinator.holdsLease() || (mesh.alive().size + 1) * 2 > catalog.entries(SharedCollections.VMS).size
     }
 
-    /** True if [target] serves no models, so that all VMs send requests to it. */
-    private fun hasPlainService(target: TargetId): Boolean {
-        val service = directory[target]?.service ?: return false
-        val spec = sharedState.declaration?.services?.get(service) ?: return false
-        return spec.engine == null
-    }
-
     private fun registeredVms(): List<VmId> =
         catalog.entries(SharedCollections.VMS).mapNotNull { readVmRecord(it.content)?.vm }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/SharedState.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/SharedState.kt
@@ -4,6 +4,7 @@
 package io.guavashore.edge.process
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.guavashore.api.TargetId
 import io.guavashore.edge.declared.EdgeDeclaration
 import io.guavashore.edge.declared.ModelId
 import io.guavashore.edge.targets.TargetDirectory
@@ -27,6 +28,13 @@
     /** Newest version of each model that its trainer has published. */
     val publishedVersions: Map<ModelId, Long> get() = published
 
+    /** True if [target] serves no models, so that all VMs send requests to it. */
+    fun hasPlainService(target: TargetId): Boolean {
+        val service = directory[target]?.service ?: return false
+        val spec = declaration?.services?.get(service) ?: return false
+        return spec.engine == null
+    }
+
     /** Calls [listener] with the changed collection after each [apply]. */
     fun onChange(listener: (CollectionName) -> Unit) {
         listeners += listener
