A request is refused without an attempt only once the duration of its route has been measured

Cause: the time in which a slot is freed came from the objective before any measurement, so a request was refused for 75 ms after the last refusal although the targets had room (StatedLoadTest, 'all are served later': 503 instead of 200, request refused as known to be full). Ruled out: a change of the test. Conclusion: what may have room is tried.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/FullServices.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/FullServices.kt
@@ -59,7 +59,9 @@
         val targets = context.targetsOf(call.route)
         if (targets.isEmpty() || !loads.stateSpeed(targets)) return false
         val nowMs = clock()
-        if (!loads.haveNoRoom(targets, serviceTimes.of(call.route), nowMs)) return false
+        // Without a measurement it is not known when a slot is freed.
+        val serviceMs = serviceTimes.measured(call.route) ?: return false
+        if (!loads.haveNoRoom(targets, serviceMs, nowMs)) return false
         return !plan.outranksWaiting(targets.first().service, rank(call), nowMs)
     }
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/loads/ServiceTimes.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/loads/ServiceTimes.kt
@@ -20,9 +20,12 @@
         averageMs.merge(route.id, usualMs) { average, latest -> average + (latest - average) * LATEST_WEIGHT }
     }
 
+    /** Measured duration of a request on an undisturbed target, in milliseconds; null before the first one. */
+    fun measured(route: Route): Double? = averageMs[route.id]
+
     /** Expected duration of a request on an undisturbed target, in milliseconds; at least 1. */
     fun of(route: Route): Double =
-        maxOf(1.0, averageMs[route.id] ?: (route.objectiveMs.toDouble() / UNMEASURED_PARTS_OF_OBJECTIVE))
+        maxOf(1.0, measured(route) ?: (route.objectiveMs.toDouble() / UNMEASURED_PARTS_OF_OBJECTIVE))
 
     private companion object {
         /** Averages over about the latest ten requests. */
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/loads/SharedLoadsTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/loads/SharedLoadsTest.kt
@@ -170,6 +170,7 @@
     @Test
     fun `targets have no room only if each refused with all slots taken and none can have freed one since`() {
         val loads = TargetLoads()
+
         fun refuse(target: TargetEntry) =
             loads.recordLoad(target, report(running = 6, slowdown = 4.0), nowMs = 100, isRefusal = true)
         targets.take(2).forEach(::refuse)
