--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
@@ -16,6 +16,7 @@
 import io.guavashore.edge.limits.PermitDecision
 import io.guavashore.edge.limits.PermitRequest
 import io.guavashore.edge.limits.TargetRateLimit
+import io.guavashore.edge.loads.LoadNews
 import io.guavashore.edge.suspects.SuspectRecord
 import io.guavashore.leases.LeaseRecord
 import io.guavashore.platform.CollectionName
@@ -71,6 +72,7 @@
  * @property stopping true once the sender has been asked to stop
  * @property rateLimits limits of targets in force; empty unless the receiver has just started
  * @property suspects requests under which targets ended: those changed lately and those that may be refused
+ * @property loads load that targets reported to the sender lately; empty unless they state their speed
  * @property tracksSuspects true if the sender grants trials of suspect requests
  * @property acceptsRepeated true if the sender understands [PeerMessage.RepeatedPing] and [PeerMessage.RepeatedPong]
  * @property busyEvacuatedZones zones under evacuation in which requests of the sender still run
@@ -92,6 +94,7 @@
     val tracksSuspects: Boolean = false,
     val acceptsRepeated: Boolean = false,
     val busyEvacuatedZones: Set<ZoneId> = emptySet(),
+    val loads: List<LoadNews> = emptyList(),
 )
 
 /** Message on a connection between two VMs. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -197,7 +197,7 @@
                 dependencies.targets.connections,
                 dependencies.targets.limits::onNoLimitNamed,
                 dependencies.targets.directory::isEvacuated,
-            ) { target, load -> dependencies.targets.loads.recordLoad(target.id, load, clock()) },
+            ) { target, load -> dependencies.targets.loads.recordLoad(target, load, clock()) },
         targets = ScoringTargets(dependencies.targets.directory, dependencies.targets.loads),
         clock = clock,
         wallClock = medianTimeMs,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -30,7 +30,9 @@
 import io.guavashore.edge.evacuation.EvacuationTracking
 import io.guavashore.edge.forward.ErrorResponder
 import io.guavashore.edge.forward.Forwarder
+import io.guavashore.edge.forward.FullServices
 import io.guavashore.edge.forward.PeerRelay
+import io.guavashore.edge.forward.RefusalContext
 import io.guavashore.edge.forward.RelayWhileCutOff
 import io.guavashore.edge.forward.ResponseObserver
 import io.guavashore.edge.forward.TargetAccess
@@ -270,12 +272,27 @@
         )
     private val forwarder =
         Forwarder(
-            chooser = TargetChooser(settings.zone, directory, loads, permits, streams.lookup, streams.admitted, clock),
+            chooser =
+                TargetChooser(settings.zone, directory, loads, permits, streams.lookup, streams.admitted, clock) {
+                    metrics.record("target.load_age_ms", it.toDouble())
+                },
             relay = relay,
             access = TargetAccess(directory, connections, loads, processCheck),
             targets = ports.targets,
             errorResponder = ErrorResponder(ports.callers, metrics),
             suspects = suspects,
+            full =
+                FullServices(
+                    loads,
+                    RefusalContext(
+                        targetsOf = { route ->
+                            route.backends.filter { it.weight > 0 }.flatMap { directory.usable(it.service) }
+                        },
+                        priorityOf = { sharedState.declaration?.priorityByOrganisation?.get(it) ?: 0 },
+                        vms = { catalog.entries(SharedCollections.VMS).size },
+                    ),
+                    clock,
+                ),
             observer = ResponseObserver(usage::count, limits::onNoLimitNamed, streams.origins::record),
             clock = clock,
         )
@@ -363,6 +380,7 @@
             tracksSuspects = true,
             acceptsRepeated = true,
             busyEvacuatedZones = evacuations?.busyZones().orEmpty(),
+            loads = loads.news(clock(), sharedState::hasPlainService),
         )
 
     override fun needsFastFailureDetection() = coordinator.holdsLease()
@@ -373,6 +391,7 @@
         heartbeat.leaseState?.let(coordinator::onLeaseState)
         limits.onHeartbeat(heartbeat)
         suspects.onHeartbeat(heartbeat)
+        loads.onNews(heartbeat.loads, clock())
         sync.changesToRequest(heartbeat).forEach { mesh.send(heartbeat.vmRecord.vm, it) }
     }
 
@@ -407,6 +426,7 @@
     ) {
         coldTargets.onResponse(target)?.let { mesh.broadcast(PeerMessage.TargetCold(it)) }
         limits.onResponse(target, response.metadata.rate)
+        response.metadata.unreadableLoad?.let { loads.recordUnreadable(target, it) }
         if (!ports.targets.announcesLeaving(response.head)) return
         val bornAtMs = directory.bornAtMs(target)
         if (!directory.recordLeaving(target, bornAtMs)) return
@@ -474,6 +494,7 @@
             suspects.runs.onTargetsChanged()
             rateLimits.retain(targets)
             coldTargets.retain(targets)
+            loads.retain(targets)
             processCheck.retain(targets)
         }
         coordinatorTasks.onSharedStateChanged()
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/peers/PeerMeshTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/peers/PeerMeshTest.kt
@@ -5,6 +5,7 @@
 import io.guavashore.api.VmId
 import io.guavashore.api.ZoneId
 import io.guavashore.api.systemMonotonicClock
+import io.guavashore.edge.cold.ColdNews
 import io.guavashore.edge.limits.TargetRateLimit
 import io.guavashore.net.ProcessLoop
 import io.guavashore.platform.CollectionName
@@ -63,6 +64,8 @@
 
         override fun onTargetLeaving(leaving: PeerMessage.TargetLeaving) = Unit
 
+        override fun onTargetCold(news: ColdNews) = Unit
+
         override fun onRateLimits(limits: List<TargetRateLimit>) = Unit
 
         override suspend fun onCall(call: PeerCall) = PeerReply.Done
