A connection is released though its caller leaves while the target's process is checked

What operators saw: an evacuated zone is not reported as empty while a connection to one of its targets stays open that nobody uses. Cause: a stream's connection is taken, then the process at its other end is checked with a report. If the caller left during that, the connection was neither returned nor closed. Since zones in use are counted by the connections that are taken, its zone counted as in use until the target closed the connection; on deployments without evacuations the entry was never removed. Ruled out: removing closed connections more often, as this one is open. Change: the check releases the connection in every case in which the call is not sent.

Stand-in workers may delay their reports.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/forward/Forwarder.kt
@@ -171,9 +171,9 @@
                 relay.onTargetUnreachable()
                 return AttemptOutcome.NOT_SENT
             }
-        val isReady = isReady(call, choice, connection)
+        if (!isReady(call, choice, connection)) return AttemptOutcome.NOT_SENT
         val leftMs = call.deadlineMs - clock()
-        if (!isReady || leftMs <= 0) {
+        if (leftMs <= 0) {
             connections.release(target.id, connection)
             return AttemptOutcome.NOT_SENT
         }
@@ -209,15 +209,25 @@
         }
     }
 
-    /** False if the call may no longer be sent, now that the connection is open and the process checked. */
+    /**
+     * False if the call may no longer be sent, now that the connection is open and the process checked. The connection
+     * is then released, also if the caller leaves during the check.
+     */
     private suspend fun isReady(
         call: ForwardedCall,
         choice: TargetChoice.Chosen,
         connection: HttpConnection,
-    ): Boolean =
-        maySend(choice) &&
-            (call.route.kind != RouteKind.STREAMING || isListedProcess(call, choice.target, connection)) &&
-            maySend(choice)
+    ): Boolean {
+        var isReady = false
+        try {
+            val needsNoCheck = call.route.kind != RouteKind.STREAMING
+            isReady =
+                maySend(choice) && (needsNoCheck || isListedProcess(call, choice.target, connection)) && maySend(choice)
+            return isReady
+        } finally {
+            if (!isReady) connections.release(choice.target.id, connection)
+        }
+    }
 
     /** The permit may have expired, or the target's zone been evacuated. */
     private fun maySend(choice: TargetChoice.Chosen) = choice.permit.isValid() && !directory.isEvacuated(choice.target)
