--- a/guavashore-acceptance/src/test/kotlin/io/guavashore/acceptance/TestSystem.kt
+++ b/guavashore-acceptance/src/test/kotlin/io/guavashore/acceptance/TestSystem.kt
@@ -112,7 +112,7 @@
     fun applyAndWait() {
         apply()
         vms.forEach { vm ->
-            await("calls through ${vm.name}", withinMs = 60_000) {
+            await({ "calls through ${vm.name}\n${logs()}" }, withinMs = 60_000) {
                 generate(vm, tokens = 1).statusCode() == 200 &&
                     get(vm, "/v1/demo/price/call/price/x").statusCode() == 200
             }
@@ -167,6 +167,9 @@
         vm: Vm,
     ): String = File(directory, "$role-${vm.name}.log").readText()
 
+    /** Logs of all processes, for a failure after which they are deleted. */
+    private fun logs() = processes.keys.sorted().joinToString("\n") { "$it:\n${File(directory, "$it.log").readText()}" }
+
     override fun close() {
         processes.values.forEach { it.destroyForcibly() }
         processes.values.forEach { it.waitFor() }
