--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -63,8 +63,9 @@
         Path repository = Path.of("").toAbsolutePath();
         List<String> seeds = new ArrayList<>();
         for (int i = 0; i < shares.length; i++) {
-            Vm vm = new Vm(repository, folder, "edge-" + (char) ('a' + i), prefix + (11 + i), zones.get(i % 3), zones, shares[i],
-                seeds, platform.address());
+            String name = "edge-" + (char) ('a' + i);
+            Vm vm = new Vm(repository, folder, name, prefix + (11 + i), zones.get(i % 3), zones, shares[i], seeds,
+                platform.addressFor(name));
             vms.add(vm);
             if (seeds.size() < 3) seeds.add(vm.control);
         }
--- a/review/standins-2/Platform.java
+++ b/review/standins-2/Platform.java
@@ -23,6 +23,13 @@
     private final List<Event> history = new ArrayList<>();
     private long revision = 1;
     private final HttpServer server;
+
+    /** Addresses at which single machines reach the store, by machine; true while the store turns the machine away. */
+    private final Map<String, HttpServer> serverByMachine = new HashMap<>();
+    private final Map<String, Boolean> turnedAway = new java.util.concurrent.ConcurrentHashMap<>();
+
+    /** Names of objects whose next creation is carried out but not answered. */
+    final java.util.Set<String> unanswered = java.util.concurrent.ConcurrentHashMap.newKeySet();
     final List<DutyCall> dutyCalls = new ArrayList<>();
 
     /** Time that the store takes to answer a call other than a watch. */
@@ -38,20 +45,38 @@
     volatile java.util.function.Consumer<DutyCall> onDutyCall = call -> {};
 
     Platform(String host) throws IOException {
-        server = HttpServer.create(new InetSocketAddress(host, 0), 512);
+        server = listen(host, null);
+    }
+
+    private HttpServer listen(String host, String machine) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(host, 0), 512);
         server.setExecutor(Executors.newCachedThreadPool(runnable -> {
             Thread thread = new Thread(runnable);
             thread.setDaemon(true);
             return thread;
         }));
-        server.createContext("/objects/", this::objects);
+        server.createContext("/objects/", call -> objects(call, machine));
         server.createContext("/usage-reports", this::duty);
         server.createContext("/scaling", this::duty);
         server.start();
+        return server;
+    }
+
+    /** Address at which [machine] alone reaches the store. */
+    synchronized String addressFor(String machine) throws IOException {
+        HttpServer own = listen(server.getAddress().getAddress().getHostAddress(), machine);
+        serverByMachine.put(machine, own);
+        return own.getAddress().getAddress().getHostAddress() + ":" + own.getAddress().getPort();
+    }
+
+    /** While [isTurnedAway], the store answers [machine] with 503 and serves the others. */
+    void turnAway(String machine, boolean isTurnedAway) {
+        turnedAway.put(machine, isTurnedAway);
+        Record.line("store turns %s away: %s", machine, isTurnedAway);
     }
 
-    String address() {
-        return server.getAddress().getAddress().getHostAddress() + ":" + server.getAddress().getPort();
+    private boolean refuses(String machine) {
+        return isBusy || (machine != null && turnedAway.getOrDefault(machine, false));
     }
 
     /** Writes an object as an operator, a trainer or a worker does; a write that changes nothing has no effect. */
@@ -92,22 +117,30 @@
         notifyAll();
     }
 
-    private void objects(HttpExchange call) throws IOException {
+    private void objects(HttpExchange call, String machine) throws IOException {
         try (call) {
             String body = new String(call.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
-            if (isBusy) {
+            if (refuses(machine)) {
+                if (!call.getRequestMethod().equals("GET")) {
+                    Record.line("store answers 503 to %s %s of %s", call.getRequestMethod(), call.getRequestURI(), machine);
+                }
                 answer(call, 503, Map.of());
                 return;
             }
             String[] path = call.getRequestURI().getPath().substring("/objects/".length()).split("/");
             Map<String, String> query = query(call.getRequestURI().getRawQuery());
             if (query.containsKey("watch")) {
-                watch(call, path[0], Long.parseLong(query.get("watch")), Long.parseLong(query.getOrDefault("wait_ms", "0")));
+                watch(call, machine, path[0], Long.parseLong(query.get("watch")), Long.parseLong(query.getOrDefault("wait_ms", "0")));
                 return;
             }
             Object[] result = carryOut(call.getRequestMethod(), path, query, body);
             if (call.getRequestMethod().equals("POST") && (int) result[0] == 201) {
-                onCreated.accept(path[0], Json.map(Json.map(result[1]).get("metadata")).get("name").toString());
+                String name = Json.map(Json.map(result[1]).get("metadata")).get("name").toString();
+                onCreated.accept(path[0], name);
+                if (unanswered.remove(name)) {
+                    Record.line("store has created %s for %s, its answer is lost", name, machine);
+                    return;
+                }
             }
             Thread.sleep(answerMs);
             answer(call, (int) result[0], result[1]);
@@ -155,7 +188,7 @@
         return new Object[] {200, write(path[0], path[1], spec, status)};
     }
 
-    private void watch(HttpExchange call, String kind, long since, long waitMs) throws IOException, InterruptedException {
+    private void watch(HttpExchange call, String machine, String kind, long since, long waitMs) throws IOException, InterruptedException {
         Map<String, Object> answer = new LinkedHashMap<>();
         synchronized (this) {
             long deadlineNs = System.nanoTime() + waitMs * 1_000_000L;
@@ -176,7 +209,7 @@
             answer.put("events", events);
             answer.put("as_of", revision);
         }
-        if (isBusy) answer(call, 503, Map.of());
+        if (refuses(machine)) answer(call, 503, Map.of());
         else answer(call, 200, answer);
     }
 
