--- a/review/standins-2/Vm.java
+++ b/review/standins-2/Vm.java
@@ -13,6 +13,7 @@
 /** One machine of class edge: a loopback address of its own, its settings, and the program of the deploy file. */
 final class Vm {
     final String name;
+    final String zone;
     final String front;
     final String ready;
     final String control;
@@ -25,6 +26,7 @@
             List<String> seeds, String platform) throws IOException {
         this.repository = repository;
         this.name = name;
+        this.zone = zone;
         front = host + ":" + freePort(host);
         ready = host + ":" + freePort(host);
         control = host + ":" + freePort(host);
