--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -82,7 +82,7 @@
 
     private void start() throws Exception {
         platform.put("config", "main", Json.object("{\"version\":7,\"routes\":["
-            + "{\"name\":\"r-price\",\"host\":\"" + HOST + "\",\"path_prefix\":\"/price/\",\"kind\":\"safe\",\"timeout_ms\":2000,"
+            + "{\"name\":\"r-price\",\"host\":\"" + HOST + "\",\"path_prefix\":\"/price/\",\"kind\":\"safe\",\"timeout_ms\":10000,"
             + "\"slo_ms\":185,\"priority\":2,\"service\":\"market\",\"max_attempts\":2,\"public\":false},"
             + "{\"name\":\"r-book\",\"host\":\"" + HOST + "\",\"path_prefix\":\"/book/\",\"kind\":\"unsafe\",\"timeout_ms\":2000,"
             + "\"slo_ms\":185,\"priority\":2,\"service\":\"market\",\"max_attempts\":2,\"public\":false},"
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -35,6 +35,9 @@
     volatile long eventMs = 40;
     volatile int events = 25;
 
+    /** Size of the answer to a plain request; 0 for a short text. */
+    volatile int answerBytes = 0;
+
     /** Number of events of the output for an item, where it is not [events]. */
     static final Map<String, Integer> EVENTS_BY_ID = new java.util.concurrent.ConcurrentHashMap<>();
 
@@ -169,8 +172,10 @@
             } else if (model == null) {
                 Thread.sleep(eventMs);
                 byte[] answer = ("answer to " + request).getBytes(StandardCharsets.UTF_8);
+                if (answerBytes > 0) answer = java.util.Arrays.copyOf(answer, answerBytes);
                 call.sendResponseHeaders(200, answer.length);
                 call.getResponseBody().write(answer);
+                Record.line("worker %s has sent its whole answer to %s, %d bytes", id, request, answer.length);
             } else {
                 stream(call, request, body, after);
             }
