--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -30,6 +30,12 @@
     final List<Worker> engines = new ArrayList<>();
     final List<Worker> plain = new ArrayList<>();
     final Platform platform;
+
+    /** Links through which the machines reach the engines, in their order. */
+    final List<Link> links = new ArrayList<>();
+
+    /** True if the machines reach the engines through links that can be cut. */
+    static boolean usesLinks = false;
     private final Path folder;
     private final String prefix;
     private volatile boolean isClosed = false;
@@ -77,6 +83,11 @@
         for (int i = 0; i < engineCount; i++) {
             engines.add(new Worker(prefix + "2", "i-engine" + i, "lm", zones.get(i % 3), MODEL, 12));
         }
+        for (Worker engine : usesLinks ? engines : List.<Worker>of()) {
+            Link link = new Link(prefix + "3", engine.address());
+            links.add(link);
+            engine.listedAddress = link.address();
+        }
         for (int i = 0; i < 2; i++) plain.add(new Worker(prefix + "2", "i-plain" + i, "market", zones.get(i % 3), null, 60));
     }
 
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -63,7 +63,13 @@
         server.start();
     }
 
-    private String address() {
+    /** Address in the worker's entry, where it is not the worker's own. */
+    volatile String listedAddress = null;
+
+    /** Called with the holder and the generation number of an order as it arrives. */
+    volatile java.util.function.BiConsumer<String, Long> onOrder = (holder, fence) -> {};
+
+    String address() {
         return server.getAddress().getAddress().getHostAddress() + ":" + server.getAddress().getPort();
     }
 
@@ -71,7 +77,7 @@
     synchronized Map<String, Object> entry() {
         Map<String, Object> entry = new LinkedHashMap<>();
         entry.put("service", service);
-        entry.put("address", address());
+        entry.put("address", listedAddress == null ? address() : listedAddress);
         entry.put("zone", zone);
         entry.put("version", "v1");
         entry.put("slots", (long) slots);
@@ -138,6 +144,7 @@
 
     private synchronized void order(HttpExchange call, Map<String, Object> order) throws IOException {
         Record.line("worker %s got order %s", id, Json.write(order));
+        onOrder.accept(order.get("holder").toString(), (long) order.get("fence"));
         Object expected = order.get("expect");
         if (expected != null && (long) expected != orders) {
             call.sendResponseHeaders(409, -1);
