--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -92,6 +92,8 @@
     }
 
     private void start() throws Exception {
+        // Also if the test is ended from outside, none of its processes goes on.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> vms.forEach(Vm::end)));
         platform.put("config", "main", Json.object("{\"version\":7,\"routes\":["
             + "{\"name\":\"r-price\",\"host\":\"" + HOST + "\",\"path_prefix\":\"/price/\",\"kind\":\"safe\",\"timeout_ms\":10000,"
             + "\"slo_ms\":185,\"priority\":2,\"service\":\"market\",\"max_attempts\":2,\"public\":false},"
--- a/review/standins-2/Vm.java
+++ b/review/standins-2/Vm.java
@@ -21,6 +21,7 @@
     private final Path log;
     private final Path repository;
     private Process process;
+    private boolean hasEnded = false;
 
     Vm(Path repository, Path folder, String name, String host, String zone, List<String> zones, double share,
             List<String> seeds, String platform) throws IOException {
@@ -74,6 +75,7 @@
 
     /** Starts the program with the run line of the role edge in the deploy file, from the root of the repository. */
     synchronized void start() throws IOException {
+        if (hasEnded) return;
         String deploy = Files.readString(repository.resolve("deploy/system.toml"));
         String role = deploy.substring(deploy.indexOf("[roles.edge]"));
         String line = role.substring(role.indexOf("run = \"") + 7);
@@ -111,8 +113,9 @@
         process.waitFor(timeoutMs, TimeUnit.MILLISECONDS);
     }
 
-    /** Ends the process at once, also if it is stopped. */
-    void end() {
+    /** Ends the process at once, also if it is stopped, for good. */
+    synchronized void end() {
+        hasEnded = true;
         if (process == null) return;
         process.destroyForcibly();
         try {
