--- a/review/standins-2/LateNotice.java
+++ b/review/standins-2/LateNotice.java
@@ -64,6 +64,8 @@
         if (Deployment.end(other, KEY, id).status() != 200) throw new Deployment.CannotRun("batch not ended");
         long endedAtMs = Record.ms();
         Deployment.sleep(10_000);
+        // Only the holder sends items; it is in touch, and no other machine has become the holder.
+        if (deployment.holder() != holder) throw new Deployment.CannotRun("the holder has changed");
         synchronized (Worker.RUNS) {
             long late = Worker.RUNS.stream().filter(run -> run.atMs() > endedAtMs + CANCEL_MS).count();
             long after = Worker.RUNS.stream().filter(run -> run.atMs() > endedAtMs).count();
