--- a/review/standins-2/FalseRefusal.java
+++ b/review/standins-2/FalseRefusal.java
@@ -55,7 +55,7 @@
         Record.line("answers to the attempts: %s", answers);
         boolean isRefused = answers.stream().allMatch(List.of(408, 421, 429, 503)::contains);
         synchronized (Worker.RUNS) {
-            long run = Worker.RUNS.stream().filter(each -> items.contains(each.id())).count();
+            long run = Worker.RUNS.stream().map(Worker.Run::id).filter(items::contains).distinct().count();
             if (!isRefused || run == 0) return null;
             return run + " items ran of a batch that was answered " + answers;
         }
--- a/review/standins-2/Vm.java
+++ b/review/standins-2/Vm.java
@@ -65,9 +65,19 @@
         Files.writeString(settings, Json.write(all));
     }
 
-    static int freePort(String host) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            return socket.getLocalPort();
+    private static final java.util.Set<Integer> CHOSEN_PORTS = new java.util.HashSet<>();
+
+    /** Free port, never chosen before, below those that the system gives to outgoing connections. */
+    private static int freePort(String host) throws IOException {
+        java.util.Random random = new java.util.Random();
+        while (true) {
+            int port = 10_000 + random.nextInt(22_000);
+            if (!CHOSEN_PORTS.add(port)) continue;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+                return socket.getLocalPort();
+            } catch (java.net.BindException inUse) {
+                // Another one is tried.
+            }
         }
     }
 
