A store call counts as not done only if every attempt was refused

Cause: RelayingStore.call dropped the outcome of an attempt through a peer that got no response, and judged the call by the two attempts after it. A reply of a peer without an outcome was dropped as well. Ruled out: a refusal by the store itself is true (503 means nothing was done); leases, chunks, usage and ends treat refused and unanswered calls alike, so they were not affected. Change: StoreCallAttempts combines the outcomes of all attempts; an attempt without a response keeps the call unsettled until the store answers it (done, conflict).

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/RelayingStore.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/RelayingStore.kt
@@ -68,16 +68,20 @@
         timeoutMs: Long,
     ): Result<StoreResponse, StoreCallError> {
         val relay = relays().firstOrNull()
+        val attempts = StoreCallAttempts()
         if (relay != null && !isReachable && clock() < tryDirectAtMs) {
-            val relayed = callThroughPeer(relay, call, timeoutMs)
-            if (relayed != null && !relayed.isUnavailable()) return relayed
+            val relayed = attempts.add(callThroughPeer(relay, call, timeoutMs))
+            if (!relayed.isUnavailable()) return relayed
         }
         tryDirectAtMs = clock() + DIRECT_RETRY_INTERVAL_MS
-        val first = callDirect(call, timeoutMs)
-        if (!first.isUnavailable() || relay == null) return first
-        val second = callThroughPeer(relay, call, timeoutMs) ?: return first
-        log.info { "store call through peer: peer=$relay call=${call.javaClass.simpleName} ok=${second.isOk}" }
-        return merge(first, second)
+        val direct = attempts.add(callDirect(call, timeoutMs))
+        if (!direct.isUnavailable() || relay == null) return direct
+        val outcome = attempts.add(callThroughPeer(relay, call, timeoutMs))
+        log.info {
+            "store call through peer: peer=$relay call=${call.javaClass.simpleName} attempts=${attempts.count} " +
+                "ok=${outcome.isOk} fault=${if (outcome.isErr) outcome.error.message else null}"
+        }
+        return outcome
     }
 
     /** Ends all open watches, since their events may have been lost in an outage. */
@@ -107,20 +111,11 @@
         relay: VmId,
         call: StoreCall,
         timeoutMs: Long,
-    ): Result<StoreResponse, StoreCallError>? {
+    ): Result<StoreResponse, StoreCallError> {
         val reply = callPeer(relay, PeerCall.Store(call, timeoutMs), timeoutMs + PEER_MARGIN_MS)
         if (reply !is PeerReply.Store) return Err(StoreCallError.Unknown("peer $relay did not reply to the store call"))
         reply.response?.let { return Ok(it) }
-        return reply.fault?.let { Err(it) }
-    }
-
-    /** Outcome of a call sent twice. If the second attempt is refused, the first may still have taken effect. */
-    private fun merge(
-        first: Result<StoreResponse, StoreCallError>,
-        second: Result<StoreResponse, StoreCallError>,
-    ): Result<StoreResponse, StoreCallError> {
-        val firstIsUnknown = first.isErr && first.error is StoreCallError.Unknown
-        return if (firstIsUnknown && second.isErr && second.error is StoreCallError.NotDone) first else second
+        return Err(reply.fault ?: StoreCallError.Unknown("peer $relay replied without an outcome"))
     }
 
     private fun observe(outcome: Result<StoreResponse, StoreCallError>) {
