Items are sent only while it is known that their batch has not ended

Cause: a coordinator took any notice of an accepted batch for news. On related paths: batches were taken over one after another, and the collection was not followed meanwhile; a watch on a silent connection was noticed after 11 s; a term went on though the store's lease record named a successor. Ruled out: copies of unfinished texts on standby VMs start no batch. BatchKnowledge holds up to which revision and as of when the store's changes have been applied. A notice counts only if its revision is beyond that; items are placed and sent only while the knowledge is at most 2 s old, counted from the sending of the call that confirmed it. Batches started before go on while calls to the store fail. BatchIntake follows the collection with short watches, takes batches over beside that, and stops the takeover of a batch that ends. A coordinator that reads its successor in the lease record ends its term. New log lines: notice ignored, batch held, batch goes on, takeover stopped, each with revision and age of the knowledge.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchRunner.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchRunner.kt
@@ -23,6 +23,12 @@
 
 private val log = KotlinLogging.logger {}
 
+/** Dispatchers of items and of score calls. */
+class Dispatchers(
+    val items: ItemDispatcher,
+    val scores: ScoreDispatcher,
+)
+
 /**
  * Runs batches in [scope], which is cancelled when this VM stops being the coordinator.
  *
@@ -32,13 +38,15 @@
     private val scope: CoroutineScope,
     private val fence: Long,
     private val store: BatchStore,
-    private val dispatcher: ItemDispatcher,
-    private val scores: ScoreDispatcher,
+    dispatchers: Dispatchers,
     private val resumableTexts: ResumableTexts,
+    private val knowledge: BatchKnowledge,
     private val declared: () -> EdgeDeclaration?,
     private val clock: MonotonicClock,
     private val wallClock: WallClock,
 ) {
+    private val dispatcher = dispatchers.items
+    private val scores = dispatchers.scores
     private val batches = LinkedHashMap<BatchId, BatchState>()
     private val committing = HashSet<BatchId>()
     private var nextTimedStepMs = 0L
@@ -103,6 +111,9 @@
         stop(batch)
     }
 
+    /** Takes another step soon, as something on which it depends has changed. */
+    fun wake() = dispatcher.wake()
+
     /** Waits up to [waitMs] until the batch has a result at position [after], is done or has ended. */
     suspend fun awaitResult(
         batch: BatchState,
@@ -130,8 +141,9 @@
             batches.values.forEach { giveUp(it, declaration) }
             dispatcher.moveStragglers(declaration)
         }
-        dispatcher.step(batches.values.flatMap { it.waiting() }, declaration)
-        scores.step(batches.values.flatMap { it.unscored() }, declaration)
+        val running = batches.values.filter(knowledge::mayRun)
+        dispatcher.step(running.flatMap { it.waiting() }, declaration)
+        scores.step(running.flatMap { it.unscored() }, declaration)
         batches.values.forEach(::commit)
     }
 
@@ -180,6 +192,7 @@
 
     private fun stop(batch: BatchState) {
         batches.remove(batch.id)
+        knowledge.forget(batch.id)
         batch.end()
         batch.items.forEach(dispatcher::cancel)
         batch.items.forEach(scores::cancel)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
@@ -116,6 +116,9 @@
         private set
     var ended = false
         private set
+
+    /** True once items could be sent on current knowledge that the batch is open. */
+    var wasStarted = false
     var nextChunk = 0
         private set
 
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -45,7 +45,11 @@
     ) : RunOutcome
 }
 
-/** Runs items on engines. */
+/**
+ * Runs items on engines.
+ *
+ * @param mayRun whether items of a batch may be sent now; asked just before sending, as opening a connection takes time
+ */
 class ItemCall(
     private val protocol: TargetProtocol,
     private val connections: TargetConnectionPool,
@@ -53,6 +57,7 @@
     private val pace: EnginePace,
     private val onNoLimitNamed: OnNoLimitNamed,
     private val clock: MonotonicClock,
+    private val mayRun: (BatchState) -> Boolean = { true },
 ) {
     /**
      * Runs [item] on [engine] under [permit], resuming after the last event of its text, and adds new events to its
@@ -76,8 +81,7 @@
                 return RunOutcome.NotRun(e.message.orEmpty(), wasOffered = false)
             }
         try {
-            if (!permit.isValid()) return RunOutcome.NotRun("permit expired", wasOffered = false)
-            if (directory.isEvacuated(engine)) return RunOutcome.NotRun("zone under evacuation", wasOffered = true)
+            denial(item, engine, permit)?.let { return it }
             val record = item.batch.record
             val context = ForwardingContext(engine.id, record.organisation, deadlineInMs, item.progress.lastEventId)
             connection.send(protocol.itemRequest(item.spec, record.host, context), item.spec.id.value)
@@ -89,6 +93,19 @@
         }
     }
 
+    /** Reason why [item] must not be sent any more; null if it may be. */
+    private fun denial(
+        item: ItemState,
+        engine: TargetEntry,
+        permit: Permit,
+    ): RunOutcome? =
+        when {
+            !permit.isValid() -> RunOutcome.NotRun("permit expired", wasOffered = false)
+            !mayRun(item.batch) -> RunOutcome.NotRun("the batch may have ended", wasOffered = false)
+            directory.isEvacuated(engine) -> RunOutcome.NotRun("zone under evacuation", wasOffered = true)
+            else -> null
+        }
+
     private suspend fun read(
         item: ItemState,
         engine: TargetEntry,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
@@ -161,7 +161,7 @@
 
     private suspend fun step() {
         val held = leaseManager.step()
-        if (held == null) return
+        if (held == null) return endTermOnSuccessor()
         vacantSinceMs = clock()
         if (term == null || held.fencingNumber.value != fencingNumber) {
             endTerm("new term")
@@ -170,6 +170,13 @@
         }
     }
 
+    /** Ends the term if the store's lease record shows a successor that this VM has not heard from. */
+    private fun endTermOnSuccessor() {
+        val record = machine.lastSeen ?: return
+        val isSuccessor = record.holder.vm != vmRecord.vm && record.fencingNumber.value > fencingNumber
+        if (isSuccessor) endTerm("another VM holds the lease, as the store shows: vm=${record.holder.vm}")
+    }
+
     private fun beginTerm() {
         log.info { "coordinator term started: fence=$fencingNumber" }
         val termScope = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job))
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorTerm.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorTerm.kt
@@ -6,9 +6,9 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.OrganisationId
-import io.guavashore.edge.batches.BATCHES
 import io.guavashore.edge.batches.BatchGateway
 import io.guavashore.edge.batches.BatchId
+import io.guavashore.edge.batches.BatchIntake
 import io.guavashore.edge.batches.BatchRunner
 import io.guavashore.edge.batches.BatchState
 import io.guavashore.edge.batches.BatchStore
@@ -31,6 +31,7 @@
 /** Handles the calls and store changes of one term. Not thread-safe. */
 class CoordinatorTerm(
     private val runner: BatchRunner,
+    private val intake: BatchIntake,
     private val permits: PermitIssuer,
     private val requestPermits: RequestPermits,
     private val store: BatchStore,
@@ -38,9 +39,6 @@
     private val emptiedStatus: String,
     private val medianTimeMs: () -> Long,
 ) {
-    /** Batches whose results are being read from the store before they are taken over. */
-    private val adopting = HashSet<BatchId>()
-
     /** Handles a batch call from a peer or from this VM. */
     suspend fun handleCall(call: PeerCall): PeerReply =
         when (call) {
@@ -53,17 +51,7 @@
         }
 
     /** Takes over the batches in the store and follows changes to them, until cancelled. */
-    suspend fun followBatches() =
-        follow(BATCHES) { entry, deleted ->
-            val batch = if (deleted) null else store.decode(entry)
-            when {
-                deleted || batch?.record?.ended == true -> {
-                    runner.end(BatchId(entry.name))
-                    runner.ended.markEndWritten(BatchId(entry.name))
-                }
-                batch != null -> adopt(batch)
-            }
-        }
+    suspend fun followBatches() = intake.follow()
 
     /** Reports a retiring storage VM as empty at once, since its disk holds no data that must be preserved. */
     suspend fun followRetirements(collection: CollectionName) =
@@ -187,29 +175,12 @@
         return PeerReply.Done
     }
 
-    private suspend fun adoptAccepted(call: PeerCall.BatchAccepted): PeerReply {
+    private fun adoptAccepted(call: PeerCall.BatchAccepted): PeerReply {
         val entry = StoredEntry(call.batch.value, call.entryRevision, call.content)
-        store.decode(entry)?.let { adopt(it, isNew = true) }
+        store.decode(entry)?.let(intake::onAccepted)
         return PeerReply.Done
     }
 
-    private suspend fun adopt(
-        batch: StoredBatch,
-        isNew: Boolean = false,
-    ) {
-        if (batch.record.ended || runner[batch.id] != null || !adopting.add(batch.id)) return
-        try {
-            if (isNew) return runner.adopt(batch, emptyList())
-            while (runner[batch.id] == null) {
-                val chunks = store.results(batch.id)
-                if (chunks.isOk) return runner.takeOver(batch, chunks.value)
-                delay(RETRY_MS)
-            }
-        } finally {
-            adopting -= batch.id
-        }
-    }
-
     private companion object {
         const val STORE_TIMEOUT_MS = 1_000L
         const val LIST_TIMEOUT_MS = 2_500L
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/RelayingStore.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/RelayingStore.kt
@@ -38,11 +38,17 @@
 ) {
     private var failedSinceMs: Long? = null
     private var tryDirectAtMs = 0L
+
+    /** Monotonic time at which the last call failed, directly and through a peer; null after one that did not. */
+    private var outSinceMs: Long? = null
     private val openWatches = HashSet<CompletableDeferred<Result<StoreResponse, StoreCallError>>>()
 
     /** False from the first failed direct call until one succeeds. */
     val isReachable: Boolean get() = failedSinceMs == null
 
+    /** True if the store has served this VM neither directly nor through a peer, as of a call that ended lately. */
+    val isOut: Boolean get() = outSinceMs?.let { clock() - it <= OUTAGE_EVIDENCE_MS } ?: false
+
     /** Executes the store call of a peer directly, so that none is relayed twice. */
     suspend fun callForPeer(call: PeerCall.Store): PeerReply {
         val outcome = callDirect(call.call, call.timeoutMs)
@@ -66,6 +72,12 @@
     suspend fun call(
         call: StoreCall,
         timeoutMs: Long,
+    ): Result<StoreResponse, StoreCallError> =
+        attempt(call, timeoutMs).also { outSinceMs = if (it.isUnavailable()) clock() else null }
+
+    private suspend fun attempt(
+        call: StoreCall,
+        timeoutMs: Long,
     ): Result<StoreResponse, StoreCallError> {
         val relay = relays().firstOrNull()
         val attempts = StoreCallAttempts()
@@ -147,6 +159,9 @@
          */
         const val OUTAGE_MS = 1_000L
 
+        /** Somewhat longer than the time between two renewals of a lease, each of which fails during an outage. */
+        const val OUTAGE_EVIDENCE_MS = 1_800L
+
         /** Round trip between zones plus the peer's processing time. */
         const val PEER_MARGIN_MS = 100L
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -7,8 +7,11 @@
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.ServiceId
 import io.guavashore.api.WallClock
+import io.guavashore.edge.batches.BatchIntake
+import io.guavashore.edge.batches.BatchKnowledge
 import io.guavashore.edge.batches.BatchRunner
 import io.guavashore.edge.batches.BatchStore
+import io.guavashore.edge.batches.Dispatchers
 import io.guavashore.edge.batches.EnginePace
 import io.guavashore.edge.batches.EngineStatus
 import io.guavashore.edge.batches.ItemCall
@@ -61,6 +64,8 @@
     val settings: EdgeSettings,
     val batchStore: BatchStore,
     val call: CallStore,
+    /** Whether calls to the store have failed lately, directly and through peers. */
+    val isStoreOut: () -> Boolean,
     val targets: TargetComponents,
     val sharedState: SharedState,
     val usage: UsageCounters,
@@ -95,12 +100,21 @@
         val issuer = PermitIssuer(dependencies.targets.limits.rates, clock)
         val permits = requestPermits.from(issuer)
         val updater = weightUpdater(scope)
-        val items = itemDispatcher(scope, updater, permits)
-        val batches = batchRunner(scope, fencingNumber, items, scoreDispatcher(scope, items::wake, permits))
+        val knowledge = BatchKnowledge(clock, dependencies.isStoreOut)
+        val items = itemDispatcher(scope, updater, permits, knowledge)
+        val batches = batchRunner(scope, fencingNumber, items, scoreDispatcher(scope, items::wake, permits), knowledge)
         dispatcher = items
         val current =
             CoordinatorTerm(
                 batches,
+                BatchIntake(
+                    scope::launchWithRestart,
+                    batches,
+                    knowledge,
+                    dependencies.batchStore,
+                    dependencies.call,
+                    clock,
+                ),
                 issuer,
                 requestPermits,
                 dependencies.batchStore,
@@ -150,13 +164,14 @@
         fencingNumber: Long,
         items: ItemDispatcher,
         scores: ScoreDispatcher,
+        knowledge: BatchKnowledge,
     ) = BatchRunner(
         scope = scope,
         fence = fencingNumber,
         store = dependencies.batchStore,
-        dispatcher = items,
-        scores = scores,
+        dispatchers = Dispatchers(items, scores),
         resumableTexts = resumableTexts,
+        knowledge = knowledge,
         declared = { dependencies.sharedState.declaration },
         clock = clock,
         wallClock = medianTimeMs,
@@ -166,6 +181,7 @@
         scope: CoroutineScope,
         updater: WeightUpdater,
         permits: PermitSource,
+        knowledge: BatchKnowledge,
     ) = ItemDispatcher(
         scope = scope,
         call =
@@ -176,6 +192,7 @@
                 dependencies.targets.pace,
                 dependencies.targets.limits::onNoLimitNamed,
                 clock,
+                mayRun = knowledge::mayRun,
             ),
         directory = dependencies.targets.directory,
         pace = dependencies.targets.pace,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -199,6 +199,7 @@
                 settings,
                 batchStore,
                 store::call,
+                { store.isOut },
                 TargetComponents(directory, connections, loads, EnginePace(), limits),
                 sharedState,
                 usage,
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchFixtures.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchFixtures.kt
@@ -4,6 +4,7 @@
 package io.guavashore.edge.batches
 
 import io.guavashore.api.GroupId
+import io.guavashore.api.MonotonicClock
 import io.guavashore.api.OrganisationId
 import io.guavashore.api.ServiceId
 import io.guavashore.api.TargetId
@@ -15,7 +16,14 @@
 import io.guavashore.edge.declared.ServiceSpec
 import io.guavashore.edge.declared.SoftwareVersion
 import io.guavashore.edge.declared.WeightedService
+import io.guavashore.edge.forward.TargetLoads
+import io.guavashore.edge.targets.ControlProtocol
+import io.guavashore.edge.targets.TargetConnectionPool
+import io.guavashore.edge.targets.TargetDirectory
+import io.guavashore.edge.targets.TargetProtocol
 import io.guavashore.net.CallerLimits
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.awaitCancellation
 
 internal val MODEL = ModelId("m0")
 internal val ENGINES = ServiceId("engines")
@@ -111,3 +119,50 @@
 )
 
 internal fun demand(item: ItemState) = ItemDemand(item, ENGINES, MODEL)
+
+/** For tests in which nothing is sent, so that no message is encoded or decoded. */
+internal val UNUSED_PROTOCOL =
+    TargetProtocol(
+        { _, _ -> error("unused") },
+        { _, _, _ -> error("unused") },
+        { _, _ -> error("unused") },
+        { error("unused") },
+        { error("unused") },
+        { error("unused") },
+        { error("unused") },
+        ControlProtocol({ _, _ -> error("unused") }, { error("unused") }, { error("unused") }),
+    )
+
+/** Runner of a coordinator with fencing number 1 that knows no engine and no declaration. */
+internal fun idleRunner(
+    scope: CoroutineScope,
+    store: BatchStore,
+    knowledge: BatchKnowledge,
+    clock: MonotonicClock,
+): BatchRunner {
+    val directory = TargetDirectory({ null }, clock, { false })
+    val connections = TargetConnectionPool({ _, _ -> awaitCancellation() }, UNUSED_PROTOCOL.metadata)
+    val pace = EnginePace()
+    val items =
+        ItemDispatcher(
+            scope,
+            ItemCall(UNUSED_PROTOCOL, connections, directory, pace, { _, _ -> }, clock),
+            directory,
+            pace,
+            EngineStatus({ false }, { _, _ -> true }),
+            clock,
+            { 0 },
+        )
+    val scores =
+        ScoreDispatcher(
+            scope,
+            ScoreCall(UNUSED_PROTOCOL, connections) { _, _ -> },
+            ScoringTargets(directory, TargetLoads()),
+            clock,
+            { 0 },
+            items::wake,
+        )
+    return BatchRunner(scope, fence = 1, store, Dispatchers(items, scores), ResumableTexts(), knowledge, {
+        null
+    }, clock, { 0 })
+}
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/evacuation/EvacuatedRunsTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/evacuation/EvacuatedRunsTest.kt
@@ -11,6 +11,7 @@
 import io.guavashore.edge.batches.ItemDispatcher
 import io.guavashore.edge.batches.ItemPhase
 import io.guavashore.edge.batches.MODEL
+import io.guavashore.edge.batches.UNUSED_PROTOCOL
 import io.guavashore.edge.batches.batch
 import io.guavashore.edge.batches.declaration
 import io.guavashore.edge.batches.itemSpec
@@ -19,10 +20,8 @@
 import io.guavashore.edge.declared.SoftwareVersion
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.declared.WeightedService
-import io.guavashore.edge.targets.ControlProtocol
 import io.guavashore.edge.targets.TargetConnectionPool
 import io.guavashore.edge.targets.TargetDirectory
-import io.guavashore.edge.targets.TargetProtocol
 import io.guavashore.platform.EntryChange
 import io.guavashore.platform.StoredEntry
 import kotlinx.coroutines.CoroutineScope
@@ -60,9 +59,9 @@
 
     /** Runs never get beyond the opening of their connection. */
     private fun dispatcher(scope: CoroutineScope): ItemDispatcher {
-        val connections = TargetConnectionPool({ _, _ -> awaitCancellation() }, PROTOCOL.metadata)
+        val connections = TargetConnectionPool({ _, _ -> awaitCancellation() }, UNUSED_PROTOCOL.metadata)
         val pace = EnginePace()
-        val call = ItemCall(PROTOCOL, connections, directory, pace, { _, _ -> }, { 0 })
+        val call = ItemCall(UNUSED_PROTOCOL, connections, directory, pace, { _, _ -> }, { 0 })
         return ItemDispatcher(scope, call, directory, pace, EngineStatus({ false }, { _, _ -> true }), { 0 }, { 0 })
     }
 
@@ -122,18 +121,5 @@
     private companion object {
         const val SLOTS = 2
         const val ITEMS = 4
-
-        /** Nothing is sent, so no message is encoded or decoded. */
-        val PROTOCOL =
-            TargetProtocol(
-                { _, _ -> error("unused") },
-                { _, _, _ -> error("unused") },
-                { _, _ -> error("unused") },
-                { error("unused") },
-                { error("unused") },
-                { error("unused") },
-                { error("unused") },
-                ControlProtocol({ _, _ -> error("unused") }, { error("unused") }, { error("unused") }),
-            )
     }
 }
--- a/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseStateMachine.kt
+++ b/guavashore-leases/src/main/kotlin/io/guavashore/leases/LeaseStateMachine.kt
@@ -81,6 +81,9 @@
     private var desiredIntent: OrderIntent? = null
     private var mustRead = true
 
+    /** Record of the latest version known, by a read or an own write; null if there is none. */
+    val lastSeen: LeaseRecord? get() = seen?.record
+
     /** The lease if this process holds it at [nowMs], else null. */
     fun heldAt(nowMs: Long): HeldLease? = held?.takeIf { nowMs < it.untilMs }
 
