A response is one only with a status from 100 to 599

Cause: the status of a response was compared with 200 only, to tell interim responses from others. 000 to 099 counted as interim, so a caller waited its whole time; 600 and above were passed on with the worker's body on unsafe routes. Ruled out: other words in place of a status (2OO, -200) were rejected by the decoder before. Change: HttpConnection closes the connection on any other status; all calls of the edge (plain, stream, item, score, order, report, relay, store, platform) and those of plain services use it. A sign or zeros before a status (+200, 0200) are still accepted, as the decoder reads them. After: all tests of guavashore-net pass.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -241,7 +241,7 @@
         }
         if (msg is HttpContent) onBytesReceived(msg.content().readableBytes())
         if (msg is HttpResponse) {
-            ambiguityOfLength(msg)?.let { return closeWith("invalid response: $it") }
+            (problemOfStatus(msg) ?: ambiguityOfLength(msg))?.let { return closeWith("invalid response: $it") }
             isInterim = msg.status().code() < FIRST_FINAL_STATUS
             if (isInterim && ++interimResponses > MAX_INTERIM_RESPONSES) return closeWith("too many interim responses")
         }
@@ -300,6 +300,10 @@
         if (pendingBytes <= MAX_PENDING_BYTES && !channel.config().isAutoRead) channel.config().isAutoRead = true
     }
 
+    /** Reason why [response] is none: its status is outside the classes that HTTP defines. Null if there is none. */
+    private fun problemOfStatus(response: HttpResponse): String? =
+        response.status().code().let { if (it in STATUSES) null else "status $it" }
+
     private fun keepAliveSeconds(header: String?): Long? =
         header
             ?.split(',')
@@ -312,6 +316,7 @@
         const val NANOS_PER_MS = 1_000_000L
         const val MS_PER_S = 1_000L
         const val FIRST_FINAL_STATUS = 200
+        val STATUSES = 100..599
 
         /** A request sent closer to the server's idle timeout could arrive after the server closed the connection. */
         const val KEEP_ALIVE_MARGIN_MS = 600L
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/EmbeddedConnection.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/EmbeddedConnection.kt
@@ -6,12 +6,15 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.TimeUnit
 
 internal class EmbeddedConnection : AutoCloseable {
     private val connection = HttpConnection(ByteBudget(maxBytes = 1_000_000))
     private val channel = EmbeddedChannel(*HttpDialer.handlersOf(connection).toTypedArray())
 
+    val isOpen: Boolean get() = connection.isOpen
+
     fun send() {
         connection.send(HttpRequestMessage("GET", "/", Headers.NONE))
         channel.releaseOutbound()
@@ -35,10 +38,15 @@
     fun response(): String? =
         runBlocking {
             try {
-                val response = connection.readResponse(maxBytes = 100_000)
-                "${response.status} ${response.headers.toList()} ${response.body.decodeToString()}"
+                val response = withTimeoutOrNull(MAX_WAIT_MS) { connection.readResponse(maxBytes = 100_000) }
+                response?.let { "${it.status} ${it.headers.toList()} ${it.body.decodeToString()}" }
             } catch (_: ExchangeFailure) {
                 null
             }
         }
+
+    private companion object {
+        /** What has been received is read without waiting. */
+        const val MAX_WAIT_MS = 20L
+    }
 }
