--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/EngineControl.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/EngineControl.kt
@@ -54,7 +54,8 @@
         EngineControl(
             state = { target ->
                 requestOrNull {
-                    json.decodeFromString<EngineState>(client.get("http://${target.endpoint}/state").bodyAsText())
+                    val response = client.get("http://${target.endpoint}/state")
+                    if (response.status.isSuccess()) json.decodeFromString(response.bodyAsText()) else null
                 }
             },
             load = { target, version, fencingNumber ->
