--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchFixtures.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchFixtures.kt
@@ -9,6 +9,7 @@
 import io.guavashore.api.ServiceId
 import io.guavashore.api.TargetId
 import io.guavashore.edge.declared.EdgeDeclaration
+import io.guavashore.edge.declared.EngineSpec
 import io.guavashore.edge.declared.ModelId
 import io.guavashore.edge.declared.Route
 import io.guavashore.edge.declared.RouteId
@@ -133,15 +134,15 @@
         ControlProtocol({ _, _ -> error("unused") }, { error("unused") }, { error("unused") }),
     )
 
-/** Runner of a coordinator that knows no engine. */
+/** Runner of a coordinator that knows the engines of [directory], to which no connection can be opened. */
 internal fun idleRunner(
     scope: CoroutineScope,
     store: BatchStore,
     knowledge: BatchKnowledge,
     clock: MonotonicClock,
     fence: TermFence = TermFence(1, isHeld = { true }),
+    directory: TargetDirectory = TargetDirectory({ null }, clock, { false }),
 ): BatchRunner {
-    val directory = TargetDirectory({ null }, clock, { false })
     val connections = TargetConnectionPool({ _, _ -> awaitCancellation() }, UNUSED_PROTOCOL.metadata)
     val pace = EnginePace()
     val items =
@@ -170,7 +171,12 @@
         Dispatchers(items, scores),
         ResumableTexts(),
         knowledge,
-        { declaration(listOf(WeightedService(ENGINES, 1))) },
+        {
+            declaration(
+                listOf(WeightedService(ENGINES, 1)),
+                mapOf(ENGINES to ServiceSpec(ENGINES, 100, EngineSpec(slots = 2, memoryTokens = 0, listOf(MODEL)))),
+            )
+        },
         clock,
         { 0 },
     )
