--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -321,7 +321,7 @@
     suspend fun start() {
         log.info {
             "edge starting: vm=${vmRecord.vm} incarnation=${vmRecord.incarnation} zone=${vmRecord.zone} " +
-                "callers=${settings.callers}"
+                "callers=${settings.callers} max_heap_mb=${Runtime.getRuntime().maxMemory() / BYTES_PER_MB}"
         }
         mesh.listen(settings.peers)
         settings.knownPeers.forEach { mesh.addPeer(it.toString()) }
@@ -519,6 +519,7 @@
     private companion object {
         const val OK = 200
         const val UNAVAILABLE = 503
+        const val BYTES_PER_MB = 1_048_576
 
         /** Well below a third of the lease's duration, so that a timed-out renewal is repeated before expiry. */
         const val LEASE_TIMEOUT_MS = 500L
