--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
@@ -125,6 +125,7 @@
 
     /** True once items could be sent on current knowledge that the batch is open. */
     var wasStarted = false
+
     var nextChunk = 0
         private set
 
