One place ends a term on its successor's lease record

Cause: the check added for records read from the store repeated the one for records from peers. Change: endTermIfSucceeded serves both; the logged reason names the VM in both cases. Behaviour is unchanged. Ran: format, lint and the lease, ended-batch and read schedule tests of guavashore-edge pass.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/Coordinator.kt
@@ -20,6 +20,7 @@
 import io.guavashore.leases.LeaseAction
 import io.guavashore.leases.LeaseHolder
 import io.guavashore.leases.LeaseManager
+import io.guavashore.leases.LeaseRecord
 import io.guavashore.leases.LeaseStateMachine
 import io.guavashore.leases.LeaseTiming
 import io.guavashore.platform.ObjectStore
@@ -116,10 +117,7 @@
         lastReceived = leaseState
         lastReceivedAtMs = clock()
         machine.onRead(ObjectVersion(leaseState.leaseRevision), leaseState.record, clock())
-        val heldByAnotherVm = leaseState.record.holder.vm != vmRecord.vm
-        if (heldByAnotherVm && leaseState.record.fencingNumber.value > fencingNumber) {
-            endTerm("another VM holds the lease")
-        }
+        endTermIfSucceeded(leaseState.record)
     }
 
     /** Contends until cancelled. */
@@ -161,7 +159,10 @@
 
     private suspend fun step() {
         val held = leaseManager.step()
-        if (held == null) return endTermOnSuccessor()
+        if (held == null) {
+            machine.lastSeen?.let(::endTermIfSucceeded)
+            return
+        }
         vacantSinceMs = clock()
         if (term == null || held.fencingNumber.value != fencingNumber) {
             endTerm("new term")
@@ -170,11 +171,10 @@
         }
     }
 
-    /** Ends the term if the store's lease record shows a successor that this VM has not heard from. */
-    private fun endTermOnSuccessor() {
-        val record = machine.lastSeen ?: return
+    /** Ends the term if [record], from a peer or the store, shows that another VM has taken the lease since. */
+    private fun endTermIfSucceeded(record: LeaseRecord) {
         val isSuccessor = record.holder.vm != vmRecord.vm && record.fencingNumber.value > fencingNumber
-        if (isSuccessor) endTerm("another VM holds the lease, as the store shows: vm=${record.holder.vm}")
+        if (isSuccessor) endTerm("another VM holds the lease: vm=${record.holder.vm}")
     }
 
     private fun beginTerm() {
