The steward's tests share one fixture of an engine

Cause: ResponseStatusesTest repeated the engine that EngineControlTest built. Assertions are unchanged.

--- a/guavashore-steward/src/test/kotlin/io/guavashore/steward/EngineControlTest.kt
+++ b/guavashore-steward/src/test/kotlin/io/guavashore/steward/EngineControlTest.kt
@@ -1,14 +1,7 @@
 package io.guavashore.steward
 
 import io.guavashore.api.FencingNumber
-import io.guavashore.api.PoolId
-import io.guavashore.api.Target
-import io.guavashore.api.TargetId
-import io.guavashore.api.TargetKind
-import io.guavashore.api.TargetStage
-import io.guavashore.api.TeamId
 import io.guavashore.api.WeightVersion
-import io.guavashore.api.ZoneId
 import io.guavashore.testing.ScriptedServer
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
@@ -29,18 +22,7 @@
     fun `an order whose success breaks off and is followed by a failure is not taken for accepted`() {
         val joined = "HTTP/1.1 202 Accepted" + "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
         ScriptedServer { joined }.use {
-            val engine =
-                Target(
-                    id = TargetId("t"),
-                    team = TeamId("t"),
-                    pool = PoolId("p"),
-                    kind = TargetKind.MODEL,
-                    zone = ZoneId("a"),
-                    endpoint = it.endpoint,
-                    slots = 1,
-                    stage = TargetStage.SERVING,
-                )
-            assertFalse(runBlocking { control.load(engine, WeightVersion(2), FencingNumber(1)) })
+            assertFalse(runBlocking { control.load(engineAt(it.endpoint), WeightVersion(2), FencingNumber(1)) })
         }
     }
 }
--- a/guavashore-steward/src/test/kotlin/io/guavashore/steward/ResponseStatusesTest.kt
+++ b/guavashore-steward/src/test/kotlin/io/guavashore/steward/ResponseStatusesTest.kt
@@ -2,14 +2,8 @@
 
 import com.github.michaelbull.result.getError
 import io.guavashore.api.FencingNumber
-import io.guavashore.api.PoolId
 import io.guavashore.api.Target
-import io.guavashore.api.TargetId
-import io.guavashore.api.TargetKind
-import io.guavashore.api.TargetStage
-import io.guavashore.api.TeamId
 import io.guavashore.api.WeightVersion
-import io.guavashore.api.ZoneId
 import io.guavashore.platform.HttpPlatform
 import io.guavashore.platform.ObjectPath
 import io.guavashore.platform.ObjectVersion
@@ -40,23 +34,11 @@
         return "HTTP/1.1 %03d Status\r\n".format(status) + content
     }
 
-    private fun engineAt(server: ScriptedServer) =
-        Target(
-            id = TargetId("t"),
-            team = TeamId("t"),
-            pool = PoolId("p"),
-            kind = TargetKind.MODEL,
-            zone = ZoneId("a"),
-            endpoint = server.endpoint,
-            slots = 1,
-            stage = TargetStage.SERVING,
-        )
-
     /** Returns the statuses with which [call] succeeds, alone and before a sound response. */
     private fun successes(call: suspend (Target) -> Boolean): List<Int> =
         statuses.filter { status ->
             listOf("", response(OK, STATE)).any { next ->
-                ScriptedServer { response(status, STATE) + next }.use { runBlocking { call(engineAt(it)) } }
+                ScriptedServer { response(status, STATE) + next }.use { runBlocking { call(engineAt(it.endpoint)) } }
             }
         }
 
