The log tells an item sent late from one that was under way

Ruled out: nothing yet. Change: "item sent", "score call sent" and "order sent" state the connection (both addresses), the number of the exchange on it and, for items, the age of the knowledge about the batch. "connection ended with a request under way" states the same connection, the request, the time since it was sent and the reason.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ItemCall.kt
@@ -3,6 +3,7 @@
  */
 package io.guavashore.edge.batches
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.limits.OnNoLimitNamed
@@ -22,6 +23,8 @@
 import io.guavashore.net.ResponseHead
 import kotlinx.coroutines.withTimeoutOrNull
 
+private val log = KotlinLogging.logger {}
+
 /** Outcome of a run. Its string form is logged. */
 sealed interface RunOutcome {
     data object Completed : RunOutcome
@@ -48,6 +51,7 @@
 /**
  * Runs items on engines.
  *
+ * @param knowledgeAgeMs age of the knowledge on which [mayRun] decides; null if there is none
  * @param mayRun whether items of a batch may be sent now; asked just before sending, as opening a connection takes time
  */
 class ItemCall(
@@ -57,6 +61,7 @@
     private val pace: EnginePace,
     private val onNoLimitNamed: OnNoLimitNamed,
     private val clock: MonotonicClock,
+    private val knowledgeAgeMs: () -> Long? = { null },
     private val mayRun: (BatchState) -> Boolean = { true },
 ) {
     /**
@@ -85,6 +90,10 @@
             val record = item.batch.record
             val context = ForwardingContext(engine.id, record.organisation, deadlineInMs, item.progress.lastEventId)
             connection.send(protocol.itemRequest(item.spec, record.host, context), item.spec.id.value)
+            log.info {
+                "item sent: item=${item.spec.id} batch=${item.batch.id} engine=${engine.id} ${connection.logFields} " +
+                    "from=${item.progress.size} knowledge_age_ms=${knowledgeAgeMs()}"
+            }
             return read(item, engine, connection, onResponse)
         } catch (e: ExchangeFailure) {
             return RunOutcome.Broken(e.message.orEmpty())
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
@@ -3,6 +3,7 @@
  */
 package io.guavashore.edge.batches
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.edge.declared.TargetEntry
 import io.guavashore.edge.limits.OnNoLimitNamed
 import io.guavashore.edge.limits.Permit
@@ -18,6 +19,8 @@
 import io.guavashore.net.ResponseHead
 import kotlinx.coroutines.withTimeoutOrNull
 
+private val log = KotlinLogging.logger {}
+
 /** Outcome of a score call. Its string form is logged. */
 sealed interface ScoreOutcome {
     data class Scored(
@@ -77,6 +80,7 @@
                 ),
                 scorer.id.value,
             )
+            log.info { "score call sent: call=${scorer.id} target=${target.id} ${connection.logFields}" }
             return withTimeoutOrNull(timeoutMs) { read(scorer, target, connection, onResponse) }
                 ?: ScoreOutcome.Broken("no complete response within $timeoutMs ms")
         } catch (e: ExchangeFailure) {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -195,6 +195,7 @@
                 dependencies.targets.pace,
                 dependencies.targets.limits::onNoLimitNamed,
                 clock,
+                knowledgeAgeMs = knowledge::ageMs,
                 mayRun = knowledge::mayRun,
             ),
         directory = dependencies.targets.directory,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/targets/EngineControl.kt
@@ -88,6 +88,8 @@
                 return null
             }
             connection.send(message)
+            // Only orders, which change the engine: reports are requested several times a second.
+            if (forceNew) log.info { "order sent: engine=${engine.id} ${connection.logFields}" }
             return withTimeoutOrNull(timeoutMs) { receiveResponse(engine, connection) }
         } finally {
             connections.release(engine.id, connection)
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -3,6 +3,7 @@
  */
 package io.guavashore.net
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
@@ -26,6 +27,8 @@
 import java.io.IOException
 import kotlinx.coroutines.channels.Channel as CoroutineChannel
 
+private val log = KotlinLogging.logger {}
+
 /** Status and header fields of a server's response; the body is read with [HttpConnection.nextPart]. */
 class ResponseHead(
     val status: Int,
@@ -103,6 +106,10 @@
 
     val isOpen: Boolean get() = channel.isActive && closeReason == null
 
+    /** Fields of log lines that tell this connection and its last request from others. */
+    val logFields: String
+        get() = "local=${channel.localAddress()} remote=${channel.remoteAddress()} exchange=$exchangeNumber"
+
     /** Time since the last request was sent or the last bytes arrived. */
     val silentForMs: Long get() = (System.nanoTime() - maxOf(sentAtNs, receivedAtNs)) / NANOS_PER_MS
 
@@ -256,6 +263,7 @@
     ) = closeWith(cause.message ?: cause.javaClass.simpleName)
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
+        if (closeReason == null) logUnanswered("ended by the server")
         responseParts?.close(ExchangeFailure.Broken(closeReason ?: "connection ended"))
         ctx.fireChannelInactive()
     }
@@ -276,13 +284,25 @@
 
     /** Closes the connection; the exchange in progress fails with [reason]. */
     internal fun closeWith(reason: String) {
-        if (closeReason == null) closeReason = reason
+        if (closeReason == null) {
+            logUnanswered(reason)
+            closeReason = reason
+        }
         responseParts?.close(ExchangeFailure.Broken(reason))
         // Without a reset, a request that a partition holds up would still be delivered after it, and run.
         if (busy && channel.isOpen) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         channel.close()
     }
 
+    /** Logs that the connection ends before the response to its last request, so that what arrives later can be told. */
+    private fun logUnanswered(reason: String) {
+        if (!isResponseDue) return
+        log.info {
+            "connection ended with a request under way: request=$requestId $logFields " +
+                "sent_ms_ago=${(System.nanoTime() - sentAtNs) / NANOS_PER_MS} reason=$reason"
+        }
+    }
+
     private fun completeExchange() {
         busy = false
         responseParts = null
