A connection is reset however its process ends, so that nothing of it arrives later

Cause: only HttpConnection.closeWith reset a connection with a request under way. A process that is killed, exits or fails runs none of its code; its kernel ends the connection in order and goes on retransmitting what a partition holds up. Frames between VMs were not even reset by a living process. Ruled out: a living process keeps no request longer than its own time-outs (items 3 s, orders 0.8 s), each ends in a reset. Change: SO_LINGER 0 from the opening of each connection to a target, a platform server or a VM, and on accepted connections of other VMs. A connection without a request under way is still ended in order. Conclusion: what a sender had under way ends with its process. A process that stands still is not covered yet.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/Frames.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/Frames.kt
@@ -98,6 +98,7 @@
     onFrame: FrameHandler,
 ): Endpoint =
     bind(loop, endpoint) { channel ->
+        channel.resetOnClose()
         FrameConnection
             .handlers(FrameConnection(onFrame, onClose))
             .forEach { channel.pipeline().addLast(it) }
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -9,7 +9,6 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.EmptyHttpHeaders
@@ -289,9 +288,7 @@
             closeReason = reason
         }
         responseParts?.close(ExchangeFailure.Broken(reason))
-        // Without a reset, a request that a partition holds up would still be delivered after it, and run.
-        if (busy && channel.isOpen) channel.config().setOption(ChannelOption.SO_LINGER, 0)
-        channel.close()
+        if (busy) channel.close() else channel.endInOrder()
     }
 
     /** Logs that the connection ends before the response to its last request, so that what arrives later can be told. */
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/Sockets.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/Sockets.kt
@@ -20,7 +20,12 @@
 import java.net.InetSocketAddress
 import kotlin.coroutines.resume
 
-/** Opens a channel with the given handlers; throws [ExchangeFailure.NotConnected] on failure. */
+/**
+ * Opens a channel with the given handlers; throws [ExchangeFailure.NotConnected] on failure.
+ *
+ * However the channel ends, also with its process, it is reset: otherwise the kernel would go on delivering what a
+ * partition holds up, long after its sender was succeeded. See [endInOrder] for channels with nothing under way.
+ */
 internal suspend fun dial(
     loop: ProcessLoop,
     endpoint: Endpoint,
@@ -43,6 +48,7 @@
     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs.coerceAtLeast(1).toInt())
     .option(ChannelOption.TCP_NODELAY, true)
     .option(ChannelOption.RCVBUF_ALLOCATOR, singleReadAllocator())
+    .option(ChannelOption.SO_LINGER, RESET_ON_CLOSE)
     .option(ChannelOption.SO_KEEPALIVE, true)
     .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_S)
     .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_S)
@@ -79,6 +85,17 @@
     return endpoint.copy(port = (future.channel().localAddress() as InetSocketAddress).port)
 }
 
+/** Makes this channel reset on its end, as channels of [dial] are. */
+internal fun Channel.resetOnClose() {
+    config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE)
+}
+
+/** Closes this channel without a reset, so that the other side does not take its end for a failure. */
+internal fun Channel.endInOrder() {
+    if (isOpen) config().setOption(ChannelOption.SO_LINGER, NO_LINGER)
+    close()
+}
+
 private suspend fun ChannelFuture.awaitCompletion() =
     suspendCancellableCoroutine { continuation ->
         addListener { continuation.resume(Unit) }
@@ -89,6 +106,10 @@
 private fun singleReadAllocator() =
     AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES).maxMessagesPerRead(1)
 
+/** Values of SO_LINGER. */
+private const val RESET_ON_CLOSE = 0
+private const val NO_LINGER = -1
+
 private const val MIN_READ_BYTES = 64
 private const val INITIAL_READ_BYTES = 2_048
 private const val MAX_READ_BYTES = 4_096
