A request counts as active until its response has been written

Cause: an exchange counted as finished once its last part was handed to Netty, so a planned stop did not wait for it, closeIdle closed its connection, and the idle timeout ran meanwhile. Ruled out: what the kernel has taken is delivered after the process has ended; connections of callers are ended in order. Change: CallerConnection stays active until the future of the last write completes, and restarts the idle timeout then. A caller that takes no byte within the idle timeout is still disconnected.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/CallerConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/CallerConnection.kt
@@ -5,6 +5,7 @@
 package io.guavashore.net
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -40,9 +41,13 @@
     /** True once the last response of the connection has been sent; nothing that arrives after it is taken. */
     private var isClosing = false
 
-    val isActive: Boolean get() = exchange != null
+    /** Responses whose last part has been handed over but not written yet, as their caller reads slowly. */
+    private var unwrittenResponses = 0
+    private var unwrittenBytes = 0L
 
-    val isIdle: Boolean get() = exchange == null && head == null && pipelined.isEmpty()
+    val isActive: Boolean get() = exchange != null || unwrittenResponses > 0
+
+    val isIdle: Boolean get() = !isActive && head == null && pipelined.isEmpty()
 
     fun close() {
         context.close()
@@ -140,25 +145,52 @@
                 body = body.toByteArray(),
             )
         val keepAlive = HttpUtil.isKeepAlive(request)
-        val current = HttpExchange(context, message, keepAlive, server) { responseSent(keepAlive) }
+        val current = HttpExchange(context, message, keepAlive, server) { responseSent(keepAlive, it) }
         exchange = current
         handlerJob = loop.scope.launch(start = CoroutineStart.UNDISPATCHED) { current.handle(handler) }
     }
 
-    private fun responseSent(keepAlive: Boolean) {
+    private fun responseSent(
+        keepAlive: Boolean,
+        written: ChannelFuture,
+    ) {
         server.release(body.size())
         head = null
         body = ByteArrayOutputStream()
         exchange = null
         handlerJob = null
+        startTimer(limits().idleTimeoutMs)
+        if (!written.isDone) awaitWritten(written)
         if (!keepAlive || server.isStopping) {
             isClosing = true
             return
         }
-        startTimer(limits().idleTimeoutMs)
         resume()
     }
 
+    /** Keeps the connection active until [written] has completed, so that a slow caller gets the whole response. */
+    private fun awaitWritten(written: ChannelFuture) {
+        unwrittenResponses++
+        unwrittenBytes = readUnwrittenBytes()
+        written.addListener {
+            unwrittenResponses--
+            if (isIdle && !isClosing) startTimer(limits().idleTimeoutMs)
+        }
+    }
+
+    private fun readUnwrittenBytes(): Long {
+        val buffer = context.channel().unsafe().outboundBuffer() ?: return 0
+        return buffer.totalPendingWriteBytes() - buffer.currentProgress()
+    }
+
+    /** True if the caller has read some of an unwritten response since the last call. */
+    private fun isStillReading(): Boolean {
+        if (unwrittenResponses == 0) return false
+        val before = unwrittenBytes
+        unwrittenBytes = readUnwrittenBytes()
+        return unwrittenBytes < before
+    }
+
     private fun resume() {
         while (exchange == null && !isClosing) {
             val next = pipelined.removeFirstOrNull() ?: break
@@ -188,6 +220,7 @@
 
     private fun timedOut() {
         if (exchange != null) return
+        if (isStillReading()) return startTimer(limits().idleTimeoutMs)
         if (head != null) refuse(REQUEST_TIMEOUT) else close()
     }
 
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpExchange.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpExchange.kt
@@ -5,6 +5,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -24,13 +25,15 @@
 /**
  * Request of a caller with its response. Send the response either with [respond] or with [begin], [write] and [finish].
  * Use [abort] if a response can't be completed, so that the caller can't take it for complete.
+ *
+ * @param onFinished called when the last part of the response has been handed over, with the future of its writing
  */
 class HttpExchange internal constructor(
     private val context: ChannelHandlerContext,
     val request: HttpRequestMessage,
     private val keepAlive: Boolean,
     private val server: HttpServer,
-    private val onFinished: () -> Unit,
+    private val onFinished: (written: ChannelFuture) -> Unit,
 ) {
     private enum class State { OPEN, BEGUN, DONE }
 
@@ -124,7 +127,7 @@
         val closeAfterwards = !keepAlive || server.isStopping
         val sent = context.writeAndFlush(message)
         if (closeAfterwards) sent.addListener(ChannelFutureListener.CLOSE)
-        onFinished()
+        onFinished(sent)
     }
 
     private fun headersOf(source: Headers): HttpHeaders {
