Only the store's own word counts as an outage in which batches go on

Cause: RelayingStore.isOut took any failed call for an outage of the store, in which started batches go on whatever the age of the knowledge. An overloaded coordinator gets no responses within its time-outs, and a rate limit refuses single calls, while the store serves other VMs, through which callers end the batches. Change: isOut holds only while the store states itself that it is unavailable, to this VM and to a peer.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchKnowledge.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchKnowledge.kt
@@ -5,7 +5,8 @@
  * listing, a change or a notice of another VM, and all of these may be old when they are processed: a response may be
  * late, a connection may be silent, and this VM may have been suspended. Therefore nothing of a batch is started unless
  * the store has shown lately that the changes applied here are complete. Batches that have been started before go on
- * during an outage of the store, since they can't be ended then either.
+ * while the store states that it is unavailable, since they can't be ended then either. Calls that get no response are
+ * no such statement: a VM that is overloaded or cut off gets none while others end batches.
  */
 package io.guavashore.edge.batches
 
@@ -17,7 +18,7 @@
 /**
  * Knowledge of one coordinator. Not thread-safe.
  *
- * @param isStoreOut whether calls of this VM to the store have failed lately, so that batches can't be ended either
+ * @param isStoreOut whether the store has stated lately that it is unavailable
  */
 class BatchKnowledge(
     private val clock: MonotonicClock,
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/RelayingStore.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/RelayingStore.kt
@@ -39,14 +39,17 @@
     private var failedSinceMs: Long? = null
     private var tryDirectAtMs = 0L
 
-    /** Monotonic time at which the last call failed, directly and through a peer; null after one that did not. */
+    /** Monotonic time at which the store last stated that it is unavailable; null if it did not to the last call. */
     private var outSinceMs: Long? = null
     private val openWatches = HashSet<CompletableDeferred<Result<StoreResponse, StoreCallError>>>()
 
     /** False from the first failed direct call until one succeeds. */
     val isReachable: Boolean get() = failedSinceMs == null
 
-    /** True if the store has served this VM neither directly nor through a peer, as of a call that ended lately. */
+    /**
+     * True if the store has stated lately that it is unavailable, to this VM and, where one is known, to a peer. A call
+     * without a response or over a rate limit is no evidence: the store may serve other VMs all the while.
+     */
     val isOut: Boolean get() = outSinceMs?.let { clock() - it <= OUTAGE_EVIDENCE_MS } ?: false
 
     /** Executes the store call of a peer directly, so that none is relayed twice. */
@@ -72,15 +75,17 @@
     suspend fun call(
         call: StoreCall,
         timeoutMs: Long,
-    ): Result<StoreResponse, StoreCallError> =
-        attempt(call, timeoutMs).also { outSinceMs = if (it.isUnavailable()) clock() else null }
+    ): Result<StoreResponse, StoreCallError> {
+        val attempts = StoreCallAttempts()
+        return attempt(call, timeoutMs, attempts).also { outSinceMs = if (attempts.wereUnavailable) clock() else null }
+    }
 
     private suspend fun attempt(
         call: StoreCall,
         timeoutMs: Long,
+        attempts: StoreCallAttempts,
     ): Result<StoreResponse, StoreCallError> {
         val relay = relays().firstOrNull()
-        val attempts = StoreCallAttempts()
         if (relay != null && !isReachable && clock() < tryDirectAtMs) {
             val relayed = attempts.add(callThroughPeer(relay, call, timeoutMs))
             if (!relayed.isUnavailable()) return relayed
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/StoreCallAttempts.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/StoreCallAttempts.kt
@@ -19,11 +19,18 @@
     var count = 0
         private set
 
+    /** Number of attempts to which the store responded that it is unavailable. */
+    private var unavailable = 0
+
+    /** True if the store responded to every attempt that it is unavailable. */
+    val wereUnavailable: Boolean get() = count > 0 && unavailable == count
+
     /** Adds the [outcome] of an attempt; returns the outcome of the call as a whole. */
     fun add(outcome: Result<StoreResponse, StoreCallError>): Result<StoreResponse, StoreCallError> {
         count++
         val error = if (outcome.isErr) outcome.error else return outcome
         if (error is StoreCallError.Unknown) withoutResponse = error
+        if (error is StoreCallError.NotDone && error.isUnavailable) unavailable++
         val unsettled = withoutResponse
         return if (error is StoreCallError.NotDone && unsettled != null) Err(unsettled) else outcome
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -66,7 +66,7 @@
     val settings: EdgeSettings,
     val batchStore: BatchStore,
     val call: CallStore,
-    /** Whether calls to the store have failed lately, directly and through peers. */
+    /** Whether the store has stated lately that it is unavailable. */
     val isStoreOut: () -> Boolean,
     val targets: TargetComponents,
     val sharedState: SharedState,
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/DisturbedLink.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/DisturbedLink.kt
@@ -84,7 +84,7 @@
     private suspend fun exchange(call: StoreCall): Result<StoreResponse, StoreCallError> {
         val connection = connections
         delay(random.nextLong(1, MAX_DELAY_MS))
-        if (state == State.REFUSED) return Err(StoreCallError.NotDone("status 503"))
+        if (state == State.REFUSED) return Err(StoreCallError.NotDone("status 503", isUnavailable = true))
         if (state == State.SILENT) awaitCancellation()
         if (call is StoreCall.Watch && random.nextInt(HISTORY_LOSSES) == 0) return Err(StoreCallError.HistoryGone)
         val response = store.call(call)
--- a/guavashore-platform/src/main/kotlin/io/guavashore/platform/CollectionStore.kt
+++ b/guavashore-platform/src/main/kotlin/io/guavashore/platform/CollectionStore.kt
@@ -149,11 +149,17 @@
             "the object was changed by another writer; read it again and reapply the change"
     }
 
-    /** The store refused the call and changed nothing. */
+    /**
+     * The store refused the call and changed nothing, or could not be connected to.
+     *
+     * @property isUnavailable true if the store itself stated that it is unavailable, which no rate limit and no
+     * failure on this VM can cause
+     */
     @Serializable
     @SerialName("refused")
     data class NotDone(
         val reason: String,
+        val isUnavailable: Boolean = false,
     ) : StoreCallError {
         override val message: String get() = "the store refused the call ($reason) and changed nothing; retry later"
     }
