Engines are called by guavashore's own client, so that joined responses are noticed

Cause: the parser of Ktor's CIO engine joins a response that breaks off with the next one. A 503 that broke off before a 200 counted as refused without effect, so the generation ran again; a 200 that broke off before a 503 counted as a successful health check. Ruled out: the lines of a generation. Each states its attempt and the last one the number of tokens, so tokens were not mixed up. Ruled out: the reuse of connections (LateDuplicatesTest passes before and after); the two responses are to one request. Change: HttpEngineClient uses guavashore-net through SingleExchangeClient, which HttpPlainClient now shares: a connection for each exchange, closed on every path, reset unless the response was read completely. Idle time-out, failure points and the limits of the health check stay. Not measured: the throughput of an entry, whose engines' responses are now read on one thread. Conclusion: a status of an engine is judged by the same code as in the edge. The steward's requests to engines are not changed yet.

--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/HttpEngineClient.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/HttpEngineClient.kt
@@ -2,100 +2,83 @@
  * Adapter to model engines over HTTP. A generation is one POST; the response has one line of JSON for each batch of
  * tokens. Each line repeats the attempt's id, so that a late or misrouted response is detected, and the last one
  * states the total number of tokens, so that a truncated response is detected.
+ *
+ * Each attempt has a connection of its own: a refusal states no attempt, so a late duplicate of one could not be told
+ * from the response to the next request.
  */
 package io.guavashore.calls
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.GenerateRequest
 import io.guavashore.api.MonotonicClock
 import io.guavashore.api.Target
 import io.guavashore.api.WeightVersion
-import io.ktor.client.HttpClient
-import io.ktor.client.request.get
-import io.ktor.client.request.preparePost
-import io.ktor.client.request.setBody
-import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsChannel
-import io.ktor.http.ContentType
-import io.ktor.http.HttpStatusCode
-import io.ktor.http.contentType
-import io.ktor.http.isSuccess
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.readUTF8Line
+import io.guavashore.net.ExchangeFailure
+import io.guavashore.net.Headers
+import io.guavashore.net.HttpConnection
+import io.guavashore.net.HttpRequestMessage
+import io.guavashore.net.SingleExchangeClient
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.channels.Channel.Factory.RENDEZVOUS
+import kotlinx.coroutines.channels.ProducerScope
 import kotlinx.coroutines.flow.Flow
-import kotlinx.coroutines.flow.FlowCollector
-import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.buffer
+import kotlinx.coroutines.flow.channelFlow
 import kotlinx.coroutines.withTimeout
-import kotlinx.serialization.Serializable
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
-/** Body of a generation request to an engine. The generation continues after the tokens in [produced]. */
-@Serializable
-data class EngineRequestBody(
-    val attempt: String,
-    val prompt: List<Int>,
-    val produced: List<Int>,
-    val maxTokens: Int,
-    val prefixTokens: Int,
-    val seed: Long,
-)
-
-/** One line of an engine's response. The last one has [done] set, no tokens, and the number of tokens in [total]. */
-@Serializable
-data class EngineResponseLine(
-    val attempt: String,
-    val firstIndex: Int = 0,
-    val tokens: List<Int> = emptyList(),
-    val version: Long? = null,
-    val done: Boolean = false,
-    val total: Int = 0,
-)
+private val log = KotlinLogging.logger {}
 
 /**
- * Client of model engines.
+ * Client of model engines. It follows no redirects and never repeats a request.
  *
  * @param idleTimeoutMs maximum time between two lines of a response
  */
 class HttpEngineClient(
-    private val client: HttpClient,
     private val clock: MonotonicClock,
     private val idleTimeoutMs: Long = 5_000,
-) {
+) : AutoCloseable {
     private val json = Json { ignoreUnknownKeys = true }
+    private val client = SingleExchangeClient()
 
     /** Runs a generation, as [GenerateOnTarget] specifies. */
     fun generate(call: EngineCall): Flow<TokenChunk> =
-        flow {
+        channelFlow {
             var responseStarted = false
             try {
-                client
-                    .preparePost("http://${call.target.endpoint}/generate") {
-                        contentType(ContentType.Application.Json)
-                        setBody(Json.encodeToString(body(call)))
-                    }.execute { response ->
-                        responseStarted = true
-                        checkStatus(response)
-                        readLines(call, response.bodyAsChannel())
-                    }
+                client.exchange(call.target.endpoint, generateRequest(call)) { connection ->
+                    val head = withTimeout(call.deadlineMs - clock()) { connection.head() }
+                    responseStarted = true
+                    checkStatus(head.status)
+                    readLines(call, ResponseLines(connection))
+                    awaitEnd(connection)
+                }
             } catch (e: Exception) {
                 throw toTargetFailure(e, responseStarted)
             }
-        }
+        }.buffer(RENDEZVOUS)
 
     /** Returns true if the target's health check succeeds within [HEALTH_TIMEOUT_MS]. */
     suspend fun isUp(target: Target): Boolean =
         try {
-            withTimeout(HEALTH_TIMEOUT_MS) { client.get("http://${target.endpoint}/health").status.isSuccess() }
-        } catch (e: TimeoutCancellationException) {
-            false
+            val request = HttpRequestMessage("GET", "/health", Headers.of("Host" to target.endpoint.toString()))
+            withTimeoutOrNull(HEALTH_TIMEOUT_MS) { client.request(target.endpoint, request).status in SUCCESSES } ==
+                true
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
             false
         }
 
+    override fun close() = client.close()
+
+    private fun generateRequest(call: EngineCall): HttpRequestMessage {
+        val headers = Headers.of("Host" to call.target.endpoint.toString(), "Content-Type" to "application/json")
+        return HttpRequestMessage("POST", "/generate", headers, Json.encodeToString(body(call)).encodeToByteArray())
+    }
+
     private fun body(call: EngineCall): EngineRequestBody {
         val request: GenerateRequest = call.request
         return EngineRequestBody(
@@ -108,25 +91,23 @@
         )
     }
 
-    private fun checkStatus(response: HttpResponse) {
-        if (response.status == HttpStatusCode.OK) return
-        val refused =
-            response.status == HttpStatusCode.ServiceUnavailable || response.status == HttpStatusCode.TooManyRequests
+    private fun checkStatus(status: Int) {
+        if (status == OK) return
         throw TargetFailure(
-            if (refused) FailurePoint.REFUSED else FailurePoint.WRONG_ANSWER,
-            "status ${response.status.value}",
+            if (status in REFUSALS) FailurePoint.REFUSED else FailurePoint.WRONG_ANSWER,
+            "status $status",
         )
     }
 
-    private suspend fun FlowCollector<TokenChunk>.readLines(
+    private suspend fun ProducerScope<TokenChunk>.readLines(
         call: EngineCall,
-        channel: ByteReadChannel,
+        lines: ResponseLines,
     ) {
         var next = call.produced.size
         while (true) {
             val waitMs = minOf(idleTimeoutMs, call.deadlineMs - clock())
             val text =
-                withTimeout(waitMs) { channel.readUTF8Line() }
+                withTimeout(waitMs) { lines.next() }
                     ?: throw TargetFailure(FailurePoint.ANSWERING, "response ended before its last line")
             val line = parse(text)
             if (line.attempt != call.attempt.value) {
@@ -139,7 +120,19 @@
             if (line.firstIndex != next) failInvalid("line starts at token ${line.firstIndex}, expected $next")
             val version = line.version ?: failInvalid("line without a weight version")
             next += line.tokens.size
-            emit(TokenChunk(line.firstIndex, line.tokens, WeightVersion(version)))
+            send(TokenChunk(line.firstIndex, line.tokens, WeightVersion(version)))
+        }
+    }
+
+    /**
+     * Waits for the end of a response whose last line has been read, so that a sound exchange is not reset. What
+     * follows the last line changes nothing in the generation.
+     */
+    private suspend fun awaitEnd(connection: HttpConnection) {
+        try {
+            withTimeoutOrNull(END_TIMEOUT_MS) { connection.nextPart() }
+        } catch (e: ExchangeFailure) {
+            log.debug { "response broke off after its last line: ${connection.logFields} cause=${e.message}" }
         }
     }
 
@@ -154,5 +147,14 @@
 
     private companion object {
         const val HEALTH_TIMEOUT_MS = 500L
+
+        /** Maximum time between the last line of a response and the end of the response. */
+        const val END_TIMEOUT_MS = 100L
+
+        const val OK = 200
+        val SUCCESSES = 200..299
+
+        /** Too Many Requests, Service Unavailable. */
+        val REFUSALS = setOf(429, 503)
     }
 }
--- a/guavashore-calls/src/main/kotlin/io/guavashore/calls/HttpPlainClient.kt
+++ b/guavashore-calls/src/main/kotlin/io/guavashore/calls/HttpPlainClient.kt
@@ -8,60 +8,39 @@
  */
 package io.guavashore.calls
 
-import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.net.Headers
 import io.guavashore.net.HttpConnection
-import io.guavashore.net.HttpDialer
 import io.guavashore.net.HttpRequestMessage
-import io.guavashore.net.ProcessLoop
 import io.guavashore.net.ResponseHead
-import kotlinx.coroutines.Job
-import kotlinx.coroutines.withContext
+import io.guavashore.net.SingleExchangeClient
 import kotlinx.coroutines.withTimeout
 import java.io.ByteArrayOutputStream
 import java.net.URI
 
-private val log = KotlinLogging.logger {}
-
 /** Client of plain services. It follows no redirects and never repeats a request. */
 class HttpPlainClient(
-    private val connectTimeoutMs: Long = 500,
+    connectTimeoutMs: Long = 500,
 ) : AutoCloseable {
-    private val loop = ProcessLoop { log.error(it) { "client of plain services failed unexpectedly" } }
-    private val onLoop = loop.scope.coroutineContext.minusKey(Job)
-    private val dialer = HttpDialer(loop)
+    private val client = SingleExchangeClient(connectTimeoutMs)
 
     /** Runs one attempt, as [CallPlain] specifies. */
     suspend fun call(call: PlainCall): PlainResponse {
         var responseStarted = false
         try {
             return withTimeout(call.timeoutMs) {
-                withContext(onLoop) { exchange(call, onStarted = { responseStarted = true }) }
+                client.exchange(call.target.endpoint, message(call)) { connection ->
+                    val head = connection.head()
+                    responseStarted = true
+                    validate(call, head)
+                    PlainResponse(head.status, head.headers["Content-Type"], connection.readBody(call, head))
+                }
             }
         } catch (e: Exception) {
             throw toTargetFailure(e, responseStarted)
         }
     }
 
-    override fun close() = loop.close()
-
-    private suspend fun exchange(
-        call: PlainCall,
-        onStarted: () -> Unit,
-    ): PlainResponse {
-        val message = message(call)
-        val connection = dialer.connect(call.target.endpoint, connectTimeoutMs)
-        try {
-            connection.send(message)
-            val head = connection.head()
-            onStarted()
-            validate(call, head)
-            val body = connection.readBody(call, head)
-            return PlainResponse(head.status, head.headers["Content-Type"], body)
-        } finally {
-            connection.close()
-        }
-    }
+    override fun close() = client.close()
 
     private fun message(call: PlainCall): HttpRequestMessage {
         val request = call.request
--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/JoinedResponsesTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/JoinedResponsesTest.kt
@@ -4,8 +4,6 @@
 import io.guavashore.api.GenerateRequest
 import io.guavashore.api.systemMonotonicClock
 import io.guavashore.testing.ScriptedServer
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
 import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
@@ -16,11 +14,10 @@
 
 /** Responses of engines that break off in their status line and are followed by another one on the connection. */
 class JoinedResponsesTest {
-    private val httpClient = HttpClient(CIO) { engine { configureTargetConnections(this) } }
-    private val engine = HttpEngineClient(httpClient, systemMonotonicClock)
+    private val engine = HttpEngineClient(systemMonotonicClock)
 
     @AfterEach
-    fun close() = httpClient.close()
+    fun close() = engine.close()
 
     private fun response(status: String) = "HTTP/1.1 $status\r\nContent-Length: 0\r\n\r\n"
 
--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/LateDuplicatesTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/LateDuplicatesTest.kt
@@ -4,8 +4,6 @@
 import io.guavashore.api.GenerateRequest
 import io.guavashore.api.systemMonotonicClock
 import io.guavashore.testing.ScriptedServer
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
 import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
@@ -16,14 +14,13 @@
 
 /** Second copies of a response that arrive late, where the response to the next request on the connection is due. */
 class LateDuplicatesTest {
-    private val httpClient = HttpClient(CIO) { engine { configureTargetConnections(this) } }
     private val plain = HttpPlainClient(connectTimeoutMs = TIMEOUT_MS)
-    private val engine = HttpEngineClient(httpClient, systemMonotonicClock)
+    private val engine = HttpEngineClient(systemMonotonicClock)
     private val responses = AtomicInteger()
 
     @AfterEach
     fun close() {
-        httpClient.close()
+        engine.close()
         plain.close()
     }
 
--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/ResponseStatusesTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/ResponseStatusesTest.kt
@@ -4,8 +4,6 @@
 import io.guavashore.api.GenerateRequest
 import io.guavashore.api.systemMonotonicClock
 import io.guavashore.testing.ScriptedServer
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
 import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
@@ -14,12 +12,11 @@
 
 /** Responses of engines with each status from 000 to 999, alone and before a sound response. */
 class ResponseStatusesTest {
-    private val httpClient = HttpClient(CIO) { engine { configureTargetConnections(this) } }
-    private val engine = HttpEngineClient(httpClient, systemMonotonicClock)
+    private val engine = HttpEngineClient(systemMonotonicClock)
     private val statuses = (0..999) - (100..199)
 
     @AfterEach
-    fun close() = httpClient.close()
+    fun close() = engine.close()
 
     private fun response(status: Int) =
         "HTTP/1.1 %03d Status\r\nContent-Length: ${LINE.length}\r\n\r\n$LINE".format(status)
--- a/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
+++ b/guavashore-calls/src/test/kotlin/io/guavashore/calls/TargetClientTest.kt
@@ -4,9 +4,6 @@
 import io.guavashore.api.Endpoint
 import io.guavashore.api.GenerateRequest
 import io.guavashore.api.systemMonotonicClock
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.request.get
 import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
@@ -27,7 +24,7 @@
  * connection or leaves it open.
  */
 class TargetClientTest {
-    private val client = HttpClient(CIO) { engine { configureTargetConnections(this) } }
+    private val engine = HttpEngineClient(systemMonotonicClock)
     private val requests = mutableListOf<String>()
     private val connections = AtomicInteger()
     private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
@@ -35,7 +32,7 @@
     @AfterEach
     fun close() {
         server.close()
-        client.close()
+        engine.close()
     }
 
     private fun serve(
@@ -88,7 +85,7 @@
                     produced,
                     deadlineMs = systemMonotonicClock() + 700,
                 )
-            HttpEngineClient(client, systemMonotonicClock).generate(call).toList()
+            engine.generate(call).toList()
         }
 
     private fun head(
@@ -220,11 +217,9 @@
         @BeforeAll
         @JvmStatic
         fun warmUp() {
-            runBlocking {
-                HttpClient(CIO).use { client -> runCatching { client.get("http://127.0.0.1:1/") } }
-            }
             TargetClientTest().run {
                 runCatching { callPlain(port = 1) }
+                runCatching { runBlocking { engine.isUp(target(port = 1)) } }
                 close()
             }
         }
--- a/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
+++ b/guavashore-entry/src/main/kotlin/io/guavashore/entry/Entry.kt
@@ -14,7 +14,6 @@
 import io.guavashore.calls.HttpEngineClient
 import io.guavashore.calls.HttpPlainClient
 import io.guavashore.calls.SuspectGuard
-import io.guavashore.calls.configureTargetConnections
 import io.guavashore.metrics.Metrics
 import io.guavashore.metrics.OperationsServer
 import io.guavashore.process.ProcessResources
@@ -40,13 +39,14 @@
     private val metrics = Metrics()
 
     /** Serves until SIGTERM, then waits for open calls, at most the drain time-out, and returns. */
-    suspend fun run() = withProcessResources(::configureTargetConnections) { serve(it) }
+    suspend fun run() = withProcessResources { serve(it) }
 
     private suspend fun serve(resources: ProcessResources) {
         val scope = resources.scope
         val guard = SuspectGuard(clock)
+        val engineClient = HttpEngineClient(clock)
         lateinit var stewardClient: StewardClient
-        val state = EntryState(settings.vm, environment(resources, guard) { stewardClient.reportSoon() })
+        val state = EntryState(settings.vm, environment(engineClient, guard) { stewardClient.reportSoon() })
         val ledger = UsageLedger(CounterSource(settings.vm, incarnation), wallClock)
         stewardClient =
             StewardClient(
@@ -96,27 +96,25 @@
         stewardClient.reportOnce()
         frontend.stop()
         plainClient.close()
+        engineClient.close()
         operationsServer.close()
         log.info { "entry stopped" }
     }
 
     private fun environment(
-        resources: ProcessResources,
+        engineClient: HttpEngineClient,
         guard: SuspectGuard,
         onWaiting: () -> Unit,
-    ): PoolEnvironment {
-        val engine = HttpEngineClient(resources.client, clock)
-        return PoolEnvironment(
-            zone = settings.zone,
-            clock = clock,
-            guard = guard,
-            engine = engine::generate,
-            isUp = engine::isUp,
-            newAttemptId = ::newAttemptId,
-            metrics = metrics,
-            onWaiting = onWaiting,
-        )
-    }
+    ) = PoolEnvironment(
+        zone = settings.zone,
+        clock = clock,
+        guard = guard,
+        engine = engineClient::generate,
+        isUp = engineClient::isUp,
+        newAttemptId = ::newAttemptId,
+        metrics = metrics,
+        onWaiting = onWaiting,
+    )
 
     private suspend fun runHousekeeping(
         state: EntryState,
--- a/guavashore-process/src/main/kotlin/io/guavashore/process/ProcessResources.kt
+++ b/guavashore-process/src/main/kotlin/io/guavashore/process/ProcessResources.kt
@@ -6,7 +6,6 @@
 import arrow.fx.coroutines.resourceScope
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.CIOEngineConfig
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -29,30 +28,22 @@
 )
 
 /** Opens the resources, runs [block] and closes them. After SIGTERM the process exits only once this is done. */
-suspend fun withProcessResources(
-    configureClient: ConfigureClient = {},
-    block: suspend (ProcessResources) -> Unit,
-) = resourceScope {
-    val stop = StopSignal()
-    val scope = install({ CoroutineScope(SupervisorJob() + Dispatchers.Default) }) { opened, _ -> opened.cancel() }
-    val selector = install({ SelectorManager(Dispatchers.IO) }) { opened, _ -> opened.close() }
-    val client = install({ httpClient(configureClient) }) { opened, _ -> opened.close() }
-    try {
-        block(ProcessResources(scope, selector, client, stop))
-    } finally {
-        stop.allowExit()
+suspend fun withProcessResources(block: suspend (ProcessResources) -> Unit) =
+    resourceScope {
+        val stop = StopSignal()
+        val scope = install({ CoroutineScope(SupervisorJob() + Dispatchers.Default) }) { opened, _ -> opened.cancel() }
+        val selector = install({ SelectorManager(Dispatchers.IO) }) { opened, _ -> opened.close() }
+        val client = install({ httpClient() }) { opened, _ -> opened.close() }
+        try {
+            block(ProcessResources(scope, selector, client, stop))
+        } finally {
+            stop.allowExit()
+        }
     }
-}
-
-/** Sets connection limits and timeouts of the HTTP client. */
-typealias ConfigureClient = CIOEngineConfig.() -> Unit
 
-private fun httpClient(configure: ConfigureClient) =
+private fun httpClient() =
     HttpClient(CIO) {
         expectSuccess = false
         followRedirects = false
-        engine {
-            requestTimeout = 0
-            configure()
-        }
+        engine { requestTimeout = 0 }
     }
