The steward calls engines by guavashore's own client, so that joined responses are noticed

Cause: the parser of Ktor's CIO engine joins a response that breaks off with the next one. A 202 that broke off before a 500 counted as an accepted order to load weights, and the same holds for the state and the health of an engine. Ruled out: the reuse of a connection; the two responses are to one request on a connection of its own. Change: HttpEngineControl uses SingleExchangeClient (guavashore-net) with its time-out of 500 ms for a whole exchange as before. It is closed at the steward's end, after the tasks that use it. Tests: EngineControlTest and ResponseStatusesTest construct the control without Ktor's client, otherwise they are unchanged.

--- a/guavashore-process/src/main/kotlin/io/guavashore/process/ProcessResources.kt
+++ b/guavashore-process/src/main/kotlin/io/guavashore/process/ProcessResources.kt
@@ -17,7 +17,7 @@
  *
  * @property scope scope of the background tasks; a failed task does not cancel the others
  * @property selector selector of all sockets
- * @property client HTTP client for the platform and targets; follows no redirects and sets no request timeout
+ * @property client HTTP client for the platform; follows no redirects and sets no request timeout
  * @property stop signals SIGTERM
  */
 class ProcessResources internal constructor(
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/EngineControl.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/EngineControl.kt
@@ -6,14 +6,10 @@
 import io.guavashore.api.FencingNumber
 import io.guavashore.api.Target
 import io.guavashore.api.WeightVersion
-import io.ktor.client.HttpClient
-import io.ktor.client.request.get
-import io.ktor.client.request.post
-import io.ktor.client.request.setBody
-import io.ktor.client.statement.bodyAsText
-import io.ktor.http.ContentType
-import io.ktor.http.contentType
-import io.ktor.http.isSuccess
+import io.guavashore.net.Headers
+import io.guavashore.net.HttpRequestMessage
+import io.guavashore.net.HttpResponseMessage
+import io.guavashore.net.SingleExchangeClient
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
@@ -45,38 +41,46 @@
 
 /** Sends the requests of [control] over HTTP. */
 internal class HttpEngineControl(
-    private val client: HttpClient,
     private val timeoutMs: Long = 500,
-) {
+) : AutoCloseable {
     private val json = Json { ignoreUnknownKeys = true }
+    private val client = SingleExchangeClient()
 
     val control =
         EngineControl(
             state = { target ->
                 requestOrNull {
-                    val response = client.get("http://${target.endpoint}/state")
-                    if (response.status.isSuccess()) json.decodeFromString(response.bodyAsText()) else null
+                    val response = get(target, "/state")
+                    if (response.isSuccess) json.decodeFromString(response.body.decodeToString()) else null
                 }
             },
             load = { target, version, fencingNumber ->
                 requestOrNull { load(target, version, fencingNumber) } ?: false
             },
-            isUp = { target ->
-                requestOrNull { client.get("http://${target.endpoint}/health").status.isSuccess() } ?: false
-            },
+            isUp = { target -> requestOrNull { get(target, "/health").isSuccess } ?: false },
         )
 
+    override fun close() = client.close()
+
+    private val HttpResponseMessage.isSuccess: Boolean get() = status in SUCCESSES
+
+    private suspend fun get(
+        target: Target,
+        path: String,
+    ): HttpResponseMessage {
+        val headers = Headers.of("Host" to target.endpoint.toString())
+        return client.request(target.endpoint, HttpRequestMessage("GET", path, headers))
+    }
+
     private suspend fun load(
         target: Target,
         version: WeightVersion,
         fencingNumber: FencingNumber,
-    ): Boolean =
-        client
-            .post("http://${target.endpoint}/load") {
-                contentType(ContentType.Application.Json)
-                setBody(Json.encodeToString(LoadOrder(version.value, fencingNumber.value)))
-            }.status
-            .isSuccess()
+    ): Boolean {
+        val headers = Headers.of("Host" to target.endpoint.toString(), "Content-Type" to "application/json")
+        val order = Json.encodeToString(LoadOrder(version.value, fencingNumber.value)).encodeToByteArray()
+        return client.request(target.endpoint, HttpRequestMessage("POST", "/load", headers, order)).isSuccess
+    }
 
     private suspend fun <T> requestOrNull(block: suspend () -> T): T? =
         try {
@@ -88,4 +92,8 @@
         } catch (e: Exception) {
             null
         }
+
+    private companion object {
+        val SUCCESSES = 200..299
+    }
 }
--- a/guavashore-steward/src/main/kotlin/io/guavashore/steward/Steward.kt
+++ b/guavashore-steward/src/main/kotlin/io/guavashore/steward/Steward.kt
@@ -54,6 +54,7 @@
     private suspend fun serve(resources: ProcessResources) {
         val scope = resources.scope
         val platform = HttpPlatform(resources.client, settings.platformUrl).platform
+        val engines = HttpEngineControl()
         val peerClients = PeerClients(resources.selector)
         val membership = MembershipService(selfRecord(), state.facts, peerClients, clock, scope)
         val leaderTasks =
@@ -92,7 +93,7 @@
         scope.launch { keepHintsCurrent(platform, membership, peerClients) }
         scope.launch { zoneLease.run() }
         scope.launch { coordinatorLease.run() }
-        scope.launch { leaderTasks.runZone(zoneLease, HttpEngineControl(resources.client).control) }
+        scope.launch { leaderTasks.runZone(zoneLease, engines.control) }
         scope.launch { leaderTasks.runCoordinator(coordinatorLease) }
         val operations =
             OperationsServer(settings.stewardOperations, metrics, ::notReady) {
@@ -106,6 +107,7 @@
         operations.close()
         scope.coroutineContext.cancelChildren()
         server.close()
+        engines.close()
         log.info { "steward stopped" }
     }
 
--- a/guavashore-steward/src/test/kotlin/io/guavashore/steward/EngineControlTest.kt
+++ b/guavashore-steward/src/test/kotlin/io/guavashore/steward/EngineControlTest.kt
@@ -3,19 +3,17 @@
 import io.guavashore.api.FencingNumber
 import io.guavashore.api.WeightVersion
 import io.guavashore.testing.ScriptedServer
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import kotlin.test.Test
 import kotlin.test.assertFalse
 
 class EngineControlTest {
-    private val client = HttpClient(CIO) { expectSuccess = false }
-    private val control = HttpEngineControl(client, timeoutMs = 2_000).control
+    private val engines = HttpEngineControl(timeoutMs = 2_000)
+    private val control = engines.control
 
     @AfterEach
-    fun close() = client.close()
+    fun close() = engines.close()
 
     /** Guards against an engine that is believed to load a version although it rejected the order. */
     @Test
--- a/guavashore-steward/src/test/kotlin/io/guavashore/steward/ResponseStatusesTest.kt
+++ b/guavashore-steward/src/test/kotlin/io/guavashore/steward/ResponseStatusesTest.kt
@@ -20,11 +20,15 @@
 /** Responses of engines and of the platform with each status from 000 to 999, alone and before a sound response. */
 class ResponseStatusesTest {
     private val client = HttpClient(CIO) { expectSuccess = false }
-    private val control = HttpEngineControl(client, timeoutMs = 1_000).control
+    private val engines = HttpEngineControl(timeoutMs = 1_000)
+    private val control = engines.control
     private val statuses = (0..999) - INTERIM
 
     @AfterEach
-    fun close() = client.close()
+    fun close() {
+        engines.close()
+        client.close()
+    }
 
     private fun response(
         status: Int,
