HttpConnection passes the lint checks

Change: the comment is shorter, the parsing of Keep-Alive is a function of the file. No check is changed; behaviour is the same.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -291,7 +291,7 @@
         if (busy) channel.close() else channel.endInOrder()
     }
 
-    /** Logs that the connection ends before the response to its last request, so that what arrives later can be told. */
+    /** Logs that the connection ends before the response to its last request, so that later arrivals can be told. */
     private fun logUnanswered(reason: String) {
         if (!isResponseDue) return
         log.info {
@@ -321,14 +321,6 @@
     private fun problemOfStatus(response: HttpResponse): String? =
         response.status().code().let { if (it in STATUSES) null else "status $it" }
 
-    private fun keepAliveSeconds(header: String?): Long? =
-        header
-            ?.split(',')
-            ?.firstOrNull { it.trim().startsWith("timeout=") }
-            ?.substringAfter('=')
-            ?.trim()
-            ?.toLongOrNull()
-
     private companion object {
         const val NANOS_PER_MS = 1_000_000L
         const val MS_PER_S = 1_000L
@@ -353,3 +345,11 @@
         val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
     }
 }
+
+private fun keepAliveSeconds(header: String?): Long? =
+    header
+        ?.split(',')
+        ?.firstOrNull { it.trim().startsWith("timeout=") }
+        ?.substringAfter('=')
+        ?.trim()
+        ?.toLongOrNull()
