A pipelined request runs only once the response before it has been written

Callers could see: a VM over its memory (none seen). Cause: the next request was accepted as soon as the response before it was handed over, so a caller that sends many requests and reads nothing filled the output buffer without a limit. A refusal behind an unwritten response had no timer, so its connection counted as active for good. Change: while a response is unwritten, what arrives is queued as during a request. A refused connection has the idle timeout. Conclusion: at most one response a connection is buffered. A caller that takes a byte within each idle timeout still holds one.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/CallerConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/CallerConnection.kt
@@ -41,11 +41,10 @@
     /** True once the last response of the connection has been sent; nothing that arrives after it is taken. */
     private var isClosing = false
 
-    /** Responses whose last part has been handed over but not written yet, as their caller reads slowly. */
-    private var unwrittenResponses = 0
-    private var unwrittenBytes = 0L
+    /** Bytes of the last response that its caller had not taken when this was read last; null once it is written. */
+    private var unwrittenBytes: Long? = null
 
-    val isActive: Boolean get() = exchange != null || unwrittenResponses > 0
+    val isActive: Boolean get() = exchange != null || unwrittenBytes != null
 
     val isIdle: Boolean get() = !isActive && head == null && pipelined.isEmpty()
 
@@ -67,7 +66,7 @@
             ReferenceCountUtil.release(msg)
             return
         }
-        if (exchange != null) return queue(msg)
+        if (isActive) return queue(msg)
         accept(msg)
     }
 
@@ -160,21 +159,18 @@
         exchange = null
         handlerJob = null
         startTimer(limits().idleTimeoutMs)
-        if (!written.isDone) awaitWritten(written)
-        if (!keepAlive || server.isStopping) {
-            isClosing = true
-            return
-        }
-        resume()
+        isClosing = !keepAlive || server.isStopping
+        if (written.isDone) resume() else awaitWritten(written)
     }
 
     /** Keeps the connection active until [written] has completed, so that a slow caller gets the whole response. */
     private fun awaitWritten(written: ChannelFuture) {
-        unwrittenResponses++
         unwrittenBytes = readUnwrittenBytes()
         written.addListener {
-            unwrittenResponses--
-            if (isIdle && !isClosing) startTimer(limits().idleTimeoutMs)
+            unwrittenBytes = null
+            if (isClosing || !context.channel().isActive) return@addListener
+            startTimer(limits().idleTimeoutMs)
+            resume()
         }
     }
 
@@ -183,16 +179,14 @@
         return buffer.totalPendingWriteBytes() - buffer.currentProgress()
     }
 
-    /** True if the caller has read some of an unwritten response since the last call. */
+    /** True if the caller has taken bytes of an unwritten response since the last call. */
     private fun isStillReading(): Boolean {
-        if (unwrittenResponses == 0) return false
-        val before = unwrittenBytes
-        unwrittenBytes = readUnwrittenBytes()
-        return unwrittenBytes < before
+        val before = unwrittenBytes ?: return false
+        return readUnwrittenBytes().also { unwrittenBytes = it } < before
     }
 
     private fun resume() {
-        while (exchange == null && !isClosing) {
+        while (!isActive && !isClosing) {
             val next = pipelined.removeFirstOrNull() ?: break
             accept(next)
         }
@@ -209,7 +203,7 @@
 
     private fun refuse(status: Int) {
         isClosing = true
-        timer?.cancel(false)
+        startTimer(limits().idleTimeoutMs)
         HttpExchange.sendAndClose(context, status)
     }
 
@@ -221,7 +215,7 @@
     private fun timedOut() {
         if (exchange != null) return
         if (isStillReading()) return startTimer(limits().idleTimeoutMs)
-        if (head != null) refuse(REQUEST_TIMEOUT) else close()
+        if (head != null && !isClosing) refuse(REQUEST_TIMEOUT) else close()
     }
 
     private companion object {
