Healthy connections between VMs end in order; evidence of an outage is as old as its call

Cause: a connection that another one replaces was reset, so texts and notices on their way on it were lost and are not sent again. RelayingStore dated a 503 by the end of the call and let the call that ended last decide, so one from before a success counted for 1.8 s more. Change: PeerLink ends replaced connections in order; those to lost peers are still reset. The evidence is dated by the sending of its call, and does not count after a call that was sent later and had another outcome. Conclusion: no test shows either fault before the change.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerLink.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerLink.kt
@@ -58,7 +58,7 @@
         try {
             val handler = { connection: FrameConnection, frame: ByteArray -> onFrame(this, connection, frame) }
             val opened = connectFrames(loop, endpoint, timing.connectTimeoutMs, handler, ::onClose)
-            if (isOpen) opened.close() else use(opened, isShared = false)
+            if (isOpen) opened.endInOrder() else use(opened, isShared = false)
             true
         } catch (e: ExchangeFailure.NotConnected) {
             // Expected while the peer is down; the mesh dials again after its redial interval, so this is not logged.
@@ -110,7 +110,7 @@
         val own = connection
         if (own !== opened) {
             use(opened, isShared = true)
-            own?.close()
+            own?.endInOrder()
         }
         onHeartbeat(received, maxOf(aliveUntilMs, clock() + livenessMs))
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/RelayingStore.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/RelayingStore.kt
@@ -39,8 +39,11 @@
     private var failedSinceMs: Long? = null
     private var tryDirectAtMs = 0L
 
-    /** Monotonic time at which the store last stated that it is unavailable; null if it did not to the last call. */
+    /** Monotonic time of the last call to which the store stated that it is unavailable; null after another outcome. */
     private var outSinceMs: Long? = null
+
+    /** Monotonic time of the last call with another outcome. */
+    private var otherOutcomeMs = 0L
     private val openWatches = HashSet<CompletableDeferred<Result<StoreResponse, StoreCallError>>>()
 
     /** False from the first failed direct call until one succeeds. */
@@ -77,7 +80,15 @@
         timeoutMs: Long,
     ): Result<StoreResponse, StoreCallError> {
         val attempts = StoreCallAttempts()
-        return attempt(call, timeoutMs, attempts).also { outSinceMs = if (attempts.wereUnavailable) clock() else null }
+        val sentAtMs = clock()
+        val outcome = attempt(call, timeoutMs, attempts)
+        if (!attempts.wereUnavailable) {
+            outSinceMs = null
+            otherOutcomeMs = maxOf(otherOutcomeMs, sentAtMs)
+        } else if (sentAtMs >= otherOutcomeMs) {
+            outSinceMs = sentAtMs
+        }
+        return outcome
     }
 
     private suspend fun attempt(
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/Frames.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/Frames.kt
@@ -37,10 +37,14 @@
         return true
     }
 
+    /** Resets the connection, as the peer counts as lost; what was sent last may not arrive. */
     fun close() {
         channel.close()
     }
 
+    /** Ends the connection once the peer has received what was sent. */
+    fun endInOrder() = channel.endInOrder()
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         channel = ctx.channel()
     }
