An end of a batch without a response is answered 504, not 503

Callers saw: an end (DELETE) answered 503, which promises that nothing was done and never will be, that took effect. Cause: three places forgot an attempt that may have happened. BatchStore.end returned the error of its last write or read; CoordinatorTerm.end replied "not here" for any error, after it had stopped the batch's runs; BatchGateway.end ignored its call to the coordinator. "Not here" was also the reply of a call whose connection had closed. Call sites of other writes were read: no other one tells its caller "not done". Change: BatchStore.end merges its writes by StoreCallAttempts. The coordinator replies the fault of its store, in a reply that earlier versions read as "ask the store". "Not here" means that nothing was done; a call that was sent and got no reply has none. The gateway answers 503 only if neither the coordinator nor the store has begun the end, else 504. A repeated end is answered 200 once the store has it. Conclusion: fixed; a coordinator of an earlier version still replies "not here" after a failed write, until it is updated.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchGateway.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchGateway.kt
@@ -25,7 +25,7 @@
     /** The store did not write the batch, so it does not run. The caller should submit it again soon. */
     NOT_ACCEPTED,
 
-    /** It is unknown whether the store holds the batch. */
+    /** It is unknown whether the call took effect, or will: the store may hold the batch, or its end. */
     UNCERTAIN,
 
     /** The id is in use for a batch with other content or of another organisation. */
@@ -34,11 +34,14 @@
     /** The organisation has no such batch or item. */
     UNKNOWN,
 
-    /** Neither the coordinator nor the store can be reached. */
+    /** Neither the coordinator nor the store can be reached; the call has had no effect and will have none. */
     CANNOT_TELL,
 }
 
-/** Calls the coordinator; null if the coordinator is unknown or did not reply in time. */
+/**
+ * Calls the coordinator. Null if it did not reply, so that it may have handled the call; [PeerReply.NotHere] if it has
+ * not handled it, or if there is no coordinator to call.
+ */
 typealias CallCoordinator = suspend (call: PeerCall, timeoutMs: Long) -> PeerReply?
 
 /** Entry point of one VM for calls about batches. */
@@ -116,22 +119,30 @@
         return Ok(decodeBody(spec.bodyBase64))
     }
 
-    /** Ends the batch. On success the end is in the store. */
+    /**
+     * Ends the batch. On success the end is in the store. Fails with [BatchRefusal.CANNOT_TELL] only if neither the
+     * coordinator nor the store has begun to end it.
+     */
     suspend fun end(
         id: BatchId,
         organisation: OrganisationId,
     ): Result<Unit, BatchRefusal> {
-        when (callCoordinator(PeerCall.EndBatch(id, organisation), END_TIMEOUT_MS)) {
-            PeerReply.Done -> return Ok(Unit)
-            PeerReply.Unknown -> return Err(BatchRefusal.UNKNOWN)
-            else -> Unit
-        }
+        val reply = callCoordinator(PeerCall.EndBatch(id, organisation), END_TIMEOUT_MS)
+        if (reply == PeerReply.Done) return Ok(Unit)
+        if (reply == PeerReply.Unknown) return Err(BatchRefusal.UNKNOWN)
+        // Without a reply, or after a fault of its store, the coordinator may have begun to end the batch.
+        val refusal = if (reply == PeerReply.NotHere) BatchRefusal.CANNOT_TELL else BatchRefusal.UNCERTAIN
         val found = store.read(id)
-        if (found.isErr) return Err(BatchRefusal.CANNOT_TELL)
+        if (found.isErr) return Err(refusal)
         val batch = found.value?.takeIf { it.record.organisation == organisation } ?: return Err(BatchRefusal.UNKNOWN)
         val ended = store.end(id, batch, END_TIMEOUT_MS)
-        log.info { "batch end written without coordinator: batch=$id ok=${ended.isOk}" }
-        return if (ended.isOk) Ok(Unit) else Err(BatchRefusal.CANNOT_TELL)
+        val fault = if (ended.isErr) ended.error else null
+        log.info { "batch end written without coordinator: batch=$id ok=${ended.isOk} store_fault=${fault?.message}" }
+        return when (fault) {
+            null -> Ok(Unit)
+            is StoreCallError.NotDone -> Err(refusal)
+            else -> Err(BatchRefusal.UNCERTAIN)
+        }
     }
 
     private suspend fun onCreated(
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchStore.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchStore.kt
@@ -14,6 +14,7 @@
 import com.github.michaelbull.result.map
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.guavashore.api.MonotonicClock
+import io.guavashore.edge.peers.StoreCallAttempts
 import io.guavashore.platform.CallStore
 import io.guavashore.platform.CollectionName
 import io.guavashore.platform.StoreCall
@@ -103,28 +104,31 @@
     }
 
     /**
-     * Marks the batch as ended; tries for about [timeoutMs]. Returns false if there is no such batch.
+     * Marks the batch as ended; tries for about [timeoutMs]. Returns false if there is no such batch. The error is that
+     * of all writes together: [StoreCallError.NotDone] only if the store refused each of them.
      *
-     * @param known the batch as last read, which saves a read; null if it must be read first
+     * @param known the batch as last read
      */
     suspend fun end(
         id: BatchId,
-        known: StoredBatch?,
+        known: StoredBatch,
         timeoutMs: Long,
     ): Result<Boolean, StoreCallError> {
         val deadlineMs = clock() + timeoutMs
+        val writes = StoreCallAttempts()
         var batch = known
-        while (true) {
-            val current = batch ?: read(id).let { if (it.isErr) return Err(it.error) else it.value } ?: return Ok(false)
-            if (current.record.ended) return Ok(true)
-            val content = encode(current.record.asEnded())
-            val replace = StoreCall.Replace(BATCHES, id.value, content, current.revision)
-            val outcome = call(replace, WRITE_TIMEOUT_MS)
+        while (!batch.record.ended) {
+            val content = encode(batch.record.asEnded())
+            val replace = StoreCall.Replace(BATCHES, id.value, content, batch.revision)
+            val outcome = writes.add(call(replace, WRITE_TIMEOUT_MS))
             if (outcome.isOk) return Ok(true)
             if (clock() >= deadlineMs) return Err(outcome.error)
-            batch = null
             delay(INITIAL_RETRY_DELAY_MS)
+            val found = read(id)
+            if (found.isErr) return Err(outcome.error)
+            batch = found.value ?: return Ok(false)
         }
+        return Ok(true)
     }
 
     /** Removes a batch and its results. Entries whose removal fails are left for the next call. */
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorTerm.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/coordinator/CoordinatorTerm.kt
@@ -129,6 +129,7 @@
             else -> PeerReply.Unknown
         }
 
+    /** Ends the batch. Replies a fault of the store as such: the runs of the batch are stopped by then. */
     private suspend fun end(
         id: BatchId,
         organisation: OrganisationId,
@@ -137,7 +138,7 @@
         if (batch.record.organisation != organisation) return PeerReply.Unknown
         runner.end(id)
         val ended = store.end(id, StoredBatch(id, batch.record, batch.revision), END_TIMEOUT_MS)
-        if (ended.isErr) return PeerReply.NotHere
+        if (ended.isErr) return PeerReply.Store(fault = ended.error)
         runner.ended.markEndWritten(id)
         return PeerReply.Done
     }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/Frontend.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/front/Frontend.kt
@@ -141,7 +141,7 @@
         BatchRefusal.NOT_ACCEPTED ->
             refuse(exchange, metadata, UNAVAILABLE, "the batch was not stored", STORE_RETRY_AFTER_MS)
         BatchRefusal.UNCERTAIN ->
-            refuse(exchange, metadata, GATEWAY_TIMEOUT, "it is unknown whether the batch was stored")
+            refuse(exchange, metadata, GATEWAY_TIMEOUT, "it is unknown whether the call took effect")
         BatchRefusal.CONTENT_DIFFERS ->
             refuse(exchange, metadata, CONFLICT, "a batch with this id and different content exists")
         BatchRefusal.UNKNOWN ->
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerLink.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerLink.kt
@@ -34,7 +34,7 @@
     private var sequence = 0L
     private val pingSentAtMs = HashMap<Long, Long>()
     private var livenessMs = 0L
-    private val calls = HashMap<Long, CompletableDeferred<PeerReply>>()
+    private val calls = HashMap<Long, CompletableDeferred<PeerReply?>>()
 
     /** True if the peer has opened the connection, and pings on it. */
     var isShared = false
@@ -134,13 +134,13 @@
     /** Sends [frame]; returns false if the connection is closed or the peer does not keep up with reading. */
     fun send(frame: ByteArray): Boolean = connection?.send(frame) == true
 
-    /** Calls the peer; null if no reply arrives within [timeoutMs], [PeerReply.NotHere] if the connection closes. */
+    /** Calls the peer; null if no reply arrives within [timeoutMs] or before the connection closes. */
     suspend fun call(
         call: PeerCall,
         timeoutMs: Long,
     ): PeerReply? {
         val id = ++sequence
-        val reply = CompletableDeferred<PeerReply>()
+        val reply = CompletableDeferred<PeerReply?>()
         calls[id] = reply
         try {
             send(PeerMesh.encode(PeerMessage.Call(id, call)))
@@ -176,6 +176,6 @@
         connection = null
         aliveUntilMs = 0
         onChange()
-        calls.values.forEach { it.complete(PeerReply.NotHere) }
+        calls.values.forEach { it.complete(null) }
     }
 }
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMesh.kt
@@ -119,12 +119,15 @@
     /** Heartbeats of the peers that are alive now, as of their last change; the same list until one changes. */
     fun alive(): List<Heartbeat> = live.heartbeats()
 
-    /** Calls [vm]; null if it is not alive or does not reply within [timeoutMs]. */
+    /** Calls [vm]; null if it does not reply within [timeoutMs], [PeerReply.NotHere] if it is not alive. */
     suspend fun call(
         vm: VmId,
         call: PeerCall,
         timeoutMs: Long,
-    ): PeerReply? = live[vm]?.call(call, timeoutMs)
+    ): PeerReply? {
+        val link = live[vm] ?: return PeerReply.NotHere
+        return link.call(call, timeoutMs)
+    }
 
     /** Sends [message] to all live peers. */
     fun broadcast(message: PeerMessage) {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/peers/PeerMessage.kt
@@ -318,7 +318,10 @@
     @SerialName("none")
     data object Unknown : PeerReply
 
-    /** This VM can't handle the call, for instance because it is not the coordinator; another VM or the store may. */
+    /**
+     * This VM has not handled the call, for instance because it is not the coordinator; another VM or the store may.
+     * A coordinator of an earlier version also replies this to an end whose write failed.
+     */
     @Serializable
     @SerialName("not-here")
     data object NotHere : PeerReply
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/EdgeProcess.kt
@@ -460,7 +460,7 @@
         call: PeerCall,
         timeoutMs: Long,
     ): PeerReply? {
-        val holder = coordinator.current() ?: return null
+        val holder = coordinator.current() ?: return PeerReply.NotHere
         return if (holder == vmRecord.vm) coordinatorTasks.handleCall(call) else mesh.call(holder, call, timeoutMs)
     }
 
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/FaultyStore.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/FaultyStore.kt
@@ -29,6 +29,12 @@
             .map { it.second }
             .sorted()
 
+    /** Entry as stored now; null if there is none. */
+    fun entry(
+        collection: CollectionName,
+        name: String,
+    ): StoredEntry? = entries[collection to name]
+
     /** Executes the delayed calls, as the platform's store may do seconds later. */
     fun executeDelayed() {
         delayed.forEach(::execute)
