A status is exactly three digits; +200 and 0200 are no response

Callers saw: a response whose status line states +200 or 0200 passed on as 200. Cause: Netty's decoder parses the status as a number, which may have a sign and leading zeros, and HttpConnection compared that number with 100 to 599. Ruled out: ResponseBoundaryHandler, which sees the bytes, but not always where a message begins; its search still counts a sign as part of a status line, so that a joined response of this kind ends the exchange as well. Change: ResponseDecoder checks the words of the status line. It replaces HttpClientCodec, whose decoder can't be changed; HttpRequestEncoder is the same as before. The check of the range moves there from HttpConnection. The codec also took an interim response for the response to HEAD; a new test shows it. Figures: ResponseStatusesTest, before: "a status is written with three digits" fails at +200, "a response to HEAD ends with its head" gets no response (4 of 6 pass). After: 6 of 6; the other tests of the module pass. Conclusion: fixed for all calls of guavashore-net. Ktor's clients (calls, steward) were not looked at.

--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -79,6 +79,10 @@
     var requestId: String? = null
         private set
 
+    /** Method of the request that was sent last; null before the first. */
+    internal var requestMethod: HttpMethod? = null
+        private set
+
     /** Start of the server's process as it stated on this connection, in Unix milliseconds; null if it is not known. */
     var serverBornAtMs: Long? = null
 
@@ -133,6 +137,8 @@
         check(requestId !in sentIds) { "the request id $requestId was already sent on this connection" }
         requestId?.let(sentIds::add)
         this.requestId = requestId
+        val method = HttpMethod.valueOf(request.method)
+        requestMethod = method
         exchangeNumber++
         busy = true
         sentAtNs = System.nanoTime()
@@ -149,7 +155,7 @@
         val message =
             DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
-                HttpMethod.valueOf(request.method),
+                method,
                 request.uri,
                 Unpooled.wrappedBuffer(request.body),
                 headers,
@@ -247,7 +253,7 @@
         }
         if (msg is HttpContent) onBytesReceived(msg.content().readableBytes())
         if (msg is HttpResponse) {
-            (problemOfStatus(msg) ?: ambiguityOfLength(msg))?.let { return closeWith("invalid response: $it") }
+            ambiguityOfLength(msg)?.let { return closeWith("invalid response: $it") }
             isInterim = msg.status().code() < FIRST_FINAL_STATUS
             if (isInterim && ++interimResponses > MAX_INTERIM_RESPONSES) return closeWith("too many interim responses")
         }
@@ -291,7 +297,7 @@
         if (busy) channel.close() else channel.endInOrder()
     }
 
-    /** Logs that the connection ends before the response to its last request, so that what arrives later can be told. */
+    /** Logs that the connection ends before the response to its last request, which may still arrive at the server. */
     private fun logUnanswered(reason: String) {
         if (!isResponseDue) return
         log.info {
@@ -317,10 +323,6 @@
         if (pendingBytes <= MAX_PENDING_BYTES && !channel.config().isAutoRead) channel.config().isAutoRead = true
     }
 
-    /** Reason why [response] is none: its status is outside the classes that HTTP defines. Null if there is none. */
-    private fun problemOfStatus(response: HttpResponse): String? =
-        response.status().code().let { if (it in STATUSES) null else "status $it" }
-
     private fun keepAliveSeconds(header: String?): Long? =
         header
             ?.split(',')
@@ -333,7 +335,6 @@
         const val NANOS_PER_MS = 1_000_000L
         const val MS_PER_S = 1_000L
         const val FIRST_FINAL_STATUS = 200
-        val STATUSES = 100..599
 
         /** A request sent closer to the server's idle timeout could arrive after the server closed the connection. */
         const val KEEP_ALIVE_MARGIN_MS = 600L
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpDialer.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpDialer.kt
@@ -5,7 +5,7 @@
 
 import io.guavashore.api.Endpoint
 import io.netty.channel.ChannelHandler
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 
 /** Connects to a server within `timeoutMs`; throws [ExchangeFailure.NotConnected] on failure. */
 typealias Dial = suspend (endpoint: Endpoint, timeoutMs: Long) -> HttpConnection
@@ -30,7 +30,8 @@
             listOf(
                 ResponseBoundaryHandler(connection),
                 UndecodedByteCounter(connection),
-                HttpClientCodec(),
+                HttpRequestEncoder(),
+                ResponseDecoder(connection::requestMethod),
                 connection,
             )
 
--- a/guavashore-net/src/main/kotlin/io/guavashore/net/ResponseStart.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/ResponseStart.kt
@@ -36,7 +36,7 @@
             return matchLineEnd(next)
         }
 
-        /** Moves behind spaces, and a sign, which the decoder accepts before a status. */
+        /** Moves behind spaces, and a sign, which a faulty server may write before a status. */
         private fun skipSpaces(index: Int): Int {
             var next = index
             while (next < end && buffer.getByte(next).toInt().let { isSpace(it) || it == '+'.code }) next++
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/EmbeddedConnection.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/EmbeddedConnection.kt
@@ -15,8 +15,8 @@
 
     val isOpen: Boolean get() = connection.isOpen
 
-    fun send() {
-        connection.send(HttpRequestMessage("GET", "/", Headers.NONE))
+    fun send(method: String = "GET") {
+        connection.send(HttpRequestMessage(method, "/", Headers.NONE))
         channel.releaseOutbound()
     }
 
--- a/guavashore-net/src/test/kotlin/io/guavashore/net/ResponseStatusesTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/ResponseStatusesTest.kt
@@ -52,6 +52,27 @@
             receive(withStatus(status)) { assertNull(response(), "status '$status'") }
         }
 
+    /** Guards against callers that get a success from a server that sent none: a parsed number may have other forms. */
+    @Test
+    fun `a status is written with three digits, and other forms of its number end the exchange at once`() =
+        listOf("+200", "0200", "00200", "+0200", "+20", "0099", "+599", "2\u0660\u0660").forEach { status ->
+            listOf(withStatus(status), withStatus(status) + sound).forEach { bytes ->
+                receive(bytes) {
+                    assertFalse(isOpen, "status '$status'")
+                    assertNull(response(), "status '$status'")
+                }
+            }
+        }
+
+    @Test
+    fun `a response to HEAD ends with its head`() =
+        EmbeddedConnection().use {
+            it.send("HEAD")
+            it.receive("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+            assertEquals("200 [(Content-Length, 5)] ", it.response())
+            assertTrue(it.isOpen)
+        }
+
     @Test
     fun `interim responses without a body precede the response`() =
         listOf(100, 102, 103, 199).forEach { status ->
