A score call is held again once its connection is open

Cause: score calls were held only when they were placed. Opening a connection takes time, in which the knowledge that the batch is open may grow too old; items were asked for again just before sending, score calls were not. Ruled out: the permit and the evacuation of the zone were checked again there already. Change: ScoreCall.run asks mayRun just before sending; ScoreDispatcher has no default for it, so that it can't be left out, and CoordinatorTasks gives it BatchKnowledge.mayRun. A held call is no failure of its target. The wiring is covered by the compiler only.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
@@ -55,6 +55,8 @@
     /**
      * Sends the score call [scorer] to [target] under [permit]; it is [ScoreOutcome.Broken] after [timeoutMs].
      *
+     * @param mayRun whether calls for the text's batch may be sent now; asked just before sending, as opening a
+     *   connection takes time
      * @param onResponse called with the beginning of the response from which the outcome is taken
      */
     suspend fun run(
@@ -62,6 +64,7 @@
         target: TargetEntry,
         timeoutMs: Long,
         permit: Permit = Permit(target.id),
+        mayRun: () -> Boolean = { true },
         onResponse: (ReceivedResponse) -> Unit = {},
     ): ScoreOutcome {
         val connection =
@@ -72,6 +75,7 @@
             }
         try {
             if (!permit.isValid()) return ScoreOutcome.NotRun("permit expired", wasOffered = false)
+            if (!mayRun()) return ScoreOutcome.NotRun("the batch may have ended", wasOffered = true)
             if (isEvacuated(target)) return ScoreOutcome.NotRun("zone under evacuation", wasOffered = true)
             connection.send(
                 protocol.scoreRequest(
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreDispatcher.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreDispatcher.kt
@@ -35,6 +35,7 @@
  * Sends score calls in [scope], which is cancelled when this VM stops being the coordinator.
  *
  * @param wake makes the runner take another step
+ * @param mayRun whether score calls for a batch may be sent now
  */
 class ScoreDispatcher(
     private val scope: CoroutineScope,
@@ -43,6 +44,7 @@
     private val clock: MonotonicClock,
     private val wallClock: WallClock,
     private val wake: () -> Unit,
+    private val mayRun: (BatchState) -> Boolean,
     private val permits: PermitSource = PermitSource.UNLIMITED,
     private val config: ScorePlacementConfig = ScorePlacementConfig(),
 ) {
@@ -165,7 +167,10 @@
         run.job =
             scope.launch(start = CoroutineStart.UNDISPATCHED) {
                 try {
-                    val outcome = call.run(scorer, target, timeoutMs, permit) { run.response = it }
+                    val outcome =
+                        call.run(scorer, target, timeoutMs, permit, mayRun = { mayRun(item.batch) }) { response ->
+                            run.response = response
+                        }
                     onCallEnded(item, run, outcome)
                 } finally {
                     targets.loads.end(target.id)
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/process/CoordinatorTasks.kt
@@ -104,7 +104,8 @@
         val updater = weightUpdater(scope)
         val knowledge = BatchKnowledge(clock, dependencies.isStoreOut)
         val items = itemDispatcher(scope, updater, permits, knowledge)
-        val batches = batchRunner(scope, fencingNumber, items, scoreDispatcher(scope, items::wake, permits), knowledge)
+        val batches =
+            batchRunner(scope, fencingNumber, items, scoreDispatcher(scope, items::wake, permits, knowledge), knowledge)
         dispatcher = items
         val current =
             CoordinatorTerm(
@@ -210,6 +211,7 @@
         scope: CoroutineScope,
         wake: () -> Unit,
         permits: PermitSource,
+        knowledge: BatchKnowledge,
     ) = ScoreDispatcher(
         scope = scope,
         call =
@@ -223,6 +225,7 @@
         clock = clock,
         wallClock = medianTimeMs,
         wake = wake,
+        mayRun = knowledge::mayRun,
         permits = permits,
     )
 
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchFixtures.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchFixtures.kt
@@ -163,6 +163,7 @@
             clock,
             { 0 },
             items::wake,
+            mayRun = { true },
         )
     return BatchRunner(
         scope,
