An unfinished text is resumed by the same item only

Cause: ResumableTexts kept texts by item id alone. Ids are chosen by callers and are unique within a batch only, so any later batch with an item of that id resumed the text. The copies on standby VMs were found, and continued, by the id as well. Ruled out: results and ended batches, which are kept by batch id and compared with the organisation at each read; scores, which are checked by the id of their call. Change: RequestDigest, a hash of the item's id, organisation, host, model, path, headers and body, is the key of kept texts. TextPart carries it in an optional field, which earlier versions skip; a part without it is not used, and the item is generated from its start. An item that comes again with other headers is generated from its start.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchState.kt
@@ -34,6 +34,9 @@
     val spec: ItemSpec,
     val position: Int,
 ) {
+    /** Identifies the request of this item across batches, unlike its id. */
+    val request: RequestDigest by lazy(LazyThreadSafetyMode.NONE) { RequestDigest.of(batch.record, spec) }
+
     val progress = ItemProgress(batch.record.minVersion, batch.record.singleVersion)
     var phase = ItemPhase.WAITING
         internal set
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ResumableTexts.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ResumableTexts.kt
@@ -2,8 +2,9 @@
  * Cache of partial texts from which items can resume generation.
  *
  * It holds the texts of groups that were incomplete when their batch ended, since a trainer may submit their items
- * again under the same ids, and on standbys the texts of items that the coordinator is running. The cache only saves
- * time: a lost text is generated again.
+ * again under the same ids, and on standbys the texts of items that the coordinator is running. Only an item with the
+ * same request resumes a text: ids alone may also be those of other items. The cache only saves time: a lost text is
+ * generated again.
  */
 package io.guavashore.edge.batches
 
@@ -16,6 +17,7 @@
  * @property from number of events before [events]
  * @property isTextComplete true if the text is complete with the last of [events]
  * @property score score of the complete text; null until known
+ * @property request request that generated the text; null in the parts of VMs of earlier versions, which can't be used
  */
 @Serializable
 data class TextPart(
@@ -25,7 +27,19 @@
     @SerialName("isWhole")
     val isTextComplete: Boolean,
     val score: Score? = null,
-)
+    val request: RequestDigest? = null,
+) {
+    companion object {
+        /** Part of the text of [item] that begins after [from] events. */
+        fun of(
+            item: ItemState,
+            from: Int,
+        ): TextPart {
+            val events = item.progress.events().drop(from)
+            return TextPart(item.spec.id, from, events, item.isTextComplete, item.score, item.request)
+        }
+    }
+}
 
 /** Partial texts on one VM; evicts the oldest. Not thread-safe. */
 class ResumableTexts {
@@ -35,7 +49,7 @@
         var score: Score? = null,
     )
 
-    private val texts = LinkedHashMap<ItemId, Text>()
+    private val texts = LinkedHashMap<RequestDigest, Text>()
     private var eventCount = 0
 
     /**
@@ -46,7 +60,7 @@
         batch: BatchState,
         nowMs: Long,
     ) = batch.items.filter { it.phase == ItemPhase.WAITING }.forEach { item ->
-        val text = texts[item.spec.id] ?: return@forEach
+        val text = texts[item.request] ?: return@forEach
         val adopted = item.progress.adopt(text.events)
         item.waitingSinceMs = nowMs
         if (!adopted || !text.isTextComplete) return@forEach
@@ -60,13 +74,17 @@
         val complete = groups.filterValues { items -> items.all { it.phase == ItemPhase.LISTED } }
         batch.items
             .filter { it.group !in complete && it.progress.size > 0 }
-            .forEach { add(TextPart(it.spec.id, from = 0, it.progress.events(), it.isTextComplete, it.score)) }
+            .forEach { add(TextPart.of(it, from = 0)) }
     }
 
-    /** Adds a part; ignores one that does not continue the cached text. A part from 0 replaces the cached text. */
+    /**
+     * Adds a part; ignores one that does not continue the cached text, or does not state its request. A part from 0
+     * replaces the cached text.
+     */
     fun add(part: TextPart) {
-        if (part.from == 0) remove(part.item)
-        val text = texts.getOrPut(part.item) { Text(ArrayList(), isTextComplete = false) }
+        val request = part.request ?: return
+        if (part.from == 0) remove(request)
+        val text = texts.getOrPut(request) { Text(ArrayList(), isTextComplete = false) }
         if (text.events.size != part.from) return
         text.events += part.events
         text.isTextComplete = part.isTextComplete
@@ -77,10 +95,10 @@
 
     /** Removes the texts of the listed items of [batch]. */
     fun removeListed(batch: BatchState) =
-        batch.items.filter { it.phase == ItemPhase.LISTED }.forEach { remove(it.spec.id) }
+        batch.items.filter { it.phase == ItemPhase.LISTED }.forEach { remove(it.request) }
 
-    private fun remove(item: ItemId) {
-        eventCount -= texts.remove(item)?.events?.size ?: 0
+    private fun remove(request: RequestDigest) {
+        eventCount -= texts.remove(request)?.events?.size ?: 0
     }
 
     private companion object {
--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/TextReplicator.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/TextReplicator.kt
@@ -47,6 +47,6 @@
         sent.events = events.size
         sent.isTextComplete = item.isTextComplete
         sent.score = item.score
-        return TextPart(item.spec.id, from, events.drop(from), item.isTextComplete, item.score)
+        return TextPart.of(item, from)
     }
 }
