--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchFixtures.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/BatchFixtures.kt
@@ -50,13 +50,16 @@
     minVersion: Long = 1,
     dueAtMs: Long = 7_500,
     singleVersion: Boolean = false,
+    organisation: String = "weavers",
+    host: String = "host",
+    model: ModelId = MODEL,
 ) = BatchState(
     BatchId(id),
     BatchRecord(
-        organisation = OrganisationId("weavers"),
-        host = "host",
+        organisation = OrganisationId(organisation),
+        host = host,
         digest = "d",
-        model = MODEL,
+        model = model,
         step = 1,
         minVersion = minVersion,
         desiredGroups = 0,
@@ -163,6 +166,7 @@
             clock,
             { 0 },
             items::wake,
+            mayRun = { true },
         )
     return BatchRunner(
         scope,
