--- a/guavashore-testing/src/main/kotlin/io/guavashore/testing/PartitionedLink.kt
+++ b/guavashore-testing/src/main/kotlin/io/guavashore/testing/PartitionedLink.kt
@@ -30,10 +30,19 @@
     /** Number of bytes of clients that the partition holds up now. */
     val heldUpBytes: Int get() = links.sumOf { it.heldUpBytes }
 
+    /** Number of connections that clients have neither ended nor reset. */
+    val openConnections: Int get() = links.count { it.isOpen }
+
+    /** True if everything has arrived that clients sent on connections they ended, and what they reset is dropped. */
+    val isSettled: Boolean get() = links.all { it.isOpen || it.isDelivered }
+
     init {
         thread(isDaemon = true) { accept() }
     }
 
+    /** True if the partition holds up, or held up until a reset, bytes of one connection that contain [text]. */
+    fun hasHeldUp(text: String): Boolean = isCut && links.any { text in it.undelivered }
+
     /** Starts a partition. Connections that are opened while it lasts carry nothing. */
     fun cut() {
         isCut = true
@@ -81,6 +90,13 @@
         private val segments = ArrayDeque<Segment>()
         private var hasEnded = false
         private var wasReset = false
+
+        /** True once nothing more is delivered. */
+        @Volatile
+        var isDelivered = false
+            private set
+        val isOpen: Boolean get() = synchronized(lock) { !hasEnded && !wasReset }
+        val undelivered: String get() = synchronized(lock) { segments.joinToString("") { String(it.bytes) } }
         val heldUpBytes: Int get() = synchronized(lock) { if (isCut) segments.sumOf { it.bytes.size } else 0 }
 
         /** Takes what the client sends until its end or its reset. */
@@ -109,6 +125,7 @@
                 if (!wasReset) upstream.shutdownOutput()
             }
             if (wasReset) reset(upstream)
+            isDelivered = true
         }
 
         /** The next segment once it arrives; null at the end of the connection. */
