A slow store is given more time before the next watch, so that batches are not held for good

Callers could see: steps that run out of time while their items are at no engine (LOST). Cause: without current knowledge each watch had 0.7 s for its response. A coordinator or a store that takes longer never got one, and since batches are held without knowledge, nothing was sent any more. Change: after a call without a response the next one has 1.5 s, below the maximum age of the knowledge.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchIntake.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/BatchIntake.kt
@@ -38,6 +38,9 @@
     private val takeovers = HashMap<BatchId, Job>()
     private val concurrentTakeovers = Semaphore(MAX_CONCURRENT_TAKEOVERS)
 
+    /** True after a call without a response: the store or this VM may be too slow for the usual time limit. */
+    private var isSlow = false
+
     /** Takes over the batches in the store and follows changes to them, until cancelled. */
     suspend fun follow() {
         while (true) {
@@ -66,10 +69,12 @@
         val sinceRevision = knowledge.appliedRevision ?: return call(StoreCall.ListAll(BATCHES), LIST_TIMEOUT_MS)
         // Without current knowledge nothing is started, so the store is asked to answer at once.
         val waitMs = if (knowledge.isCurrent) WATCH_MS else 1
-        return call(StoreCall.Watch(BATCHES, sinceRevision, waitMs), waitMs + WATCH_MARGIN_MS)
+        val marginMs = if (isSlow) SLOW_WATCH_MARGIN_MS else WATCH_MARGIN_MS
+        return call(StoreCall.Watch(BATCHES, sinceRevision, waitMs), waitMs + marginMs)
     }
 
     private suspend fun recover(error: StoreCallError) {
+        isSlow = error is StoreCallError.Unknown
         log.warn {
             "batches not synchronised: applied=${knowledge.appliedRevision} knowledge_age_ms=${knowledge.ageMs} " +
                 "fault=${error.message}"
@@ -81,6 +86,7 @@
         response: StoreResponse,
         sentAtMs: Long,
     ) {
+        isSlow = false
         when (response) {
             is StoreResponse.Listing -> {
                 response.entries.forEach { apply(it, deleted = false) }
@@ -145,6 +151,9 @@
 
         /** The store responds within 0.5 s when its operators slow it down. */
         const val WATCH_MARGIN_MS = 700L
+
+        /** Leaves some of the maximum age of the knowledge for sending items. */
+        const val SLOW_WATCH_MARGIN_MS = 1_500L
         const val RETRY_MS = 150L
 
         /** Each takeover makes two calls; a coordinator of a large deployment takes over dozens of batches. */
--- a/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/UnservedCoordinatorTest.kt
+++ b/guavashore-edge/src/test/kotlin/io/guavashore/edge/batches/UnservedCoordinatorTest.kt
@@ -14,13 +14,14 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 /** Coordinator whose calls to the store fail while those of other VMs are served, through which a batch is ended. */
 class UnservedCoordinatorTest {
-    private enum class Fault { NO_RESPONSE, NOT_CONNECTED, OVER_LIMIT, UNAVAILABLE }
+    private enum class Fault { NO_RESPONSE, NOT_CONNECTED, OVER_LIMIT, UNAVAILABLE, SLOW }
 
     private inner class Coordinator(
         private val scope: TestScope,
@@ -62,9 +63,15 @@
                 Fault.NOT_CONNECTED -> Err(StoreCallError.NotDone("not connected"))
                 Fault.OVER_LIMIT -> Err(StoreCallError.NotDone("status 429"))
                 Fault.UNAVAILABLE -> Err(unavailable)
+                Fault.SLOW -> withTimeoutOrNull(timeoutMs) { callSlowly(call) } ?: Err(StoreCallError.Unknown("slow"))
             }
         }
 
+        private suspend fun callSlowly(call: StoreCall): Result<StoreResponse, StoreCallError> {
+            delay(SLOW_MS)
+            return store.call(call)
+        }
+
         suspend fun startBatch() {
             val content = batchStore.encode(batch("b", listOf(itemSpec("i"))).record)
             store.execute(StoreCall.Create(BATCHES, "b", content))
@@ -89,7 +96,7 @@
     /** Guards against items of ended batches that an overloaded coordinator sends, whose calls time out. */
     @Test
     fun `a batch that another VM ends does not go on because calls of the coordinator fail`() =
-        (Fault.entries - Fault.UNAVAILABLE).forEach { fault ->
+        (Fault.entries - Fault.UNAVAILABLE - Fault.SLOW).forEach { fault ->
             runTest {
                 val coordinator = Coordinator(this)
                 coordinator.startBatch()
@@ -119,10 +126,32 @@
             assertEquals(listOf(BatchId("b")), coordinator.running)
         }
 
+    /** Guards against batches that an overloaded coordinator holds for good. */
+    @Test
+    fun `a batch runs again and again while responses of the store take longer than usual`() =
+        runTest {
+            val coordinator = Coordinator(this)
+            coordinator.startBatch()
+            coordinator.fault = Fault.SLOW
+            delay(FAULT_MS)
+            var heldForMs = 0L
+            repeat((FAULT_MS / CHECK_INTERVAL_MS).toInt()) {
+                delay(CHECK_INTERVAL_MS)
+                heldForMs = if (coordinator.running.isEmpty()) heldForMs + CHECK_INTERVAL_MS else 0
+                assertTrue(heldForMs < MAX_HELD_MS, "held for $heldForMs ms")
+            }
+        }
+
     private companion object {
         val unavailable = StoreCallError.NotDone("status 503", isUnavailable = true)
         const val ROUND_TRIP_MS = 4L
         const val SETTLE_MS = 500L
+
+        /** Longer than a watch usually takes to be answered. */
+        const val SLOW_MS = 1_000L
+
+        /** An item that is at no worker for 5 s counts as lost. */
+        const val MAX_HELD_MS = 5_000L
         const val WATCH_MS = 1_000L
         const val FAULT_MS = 12_000L
         const val CHECK_INTERVAL_MS = 20L
