The checks of a score call before its sending are one function

Change: denial() states why a call must not be sent, as in ItemCall. Behaviour is unchanged. Conclusion: none further.

--- a/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
+++ b/guavashore-edge/src/main/kotlin/io/guavashore/edge/batches/ScoreCall.kt
@@ -74,9 +74,7 @@
                 return ScoreOutcome.NotRun(e.message.orEmpty(), wasOffered = false)
             }
         try {
-            if (!permit.isValid()) return ScoreOutcome.NotRun("permit expired", wasOffered = false)
-            if (!mayRun()) return ScoreOutcome.NotRun("the batch may have ended", wasOffered = true)
-            if (isEvacuated(target)) return ScoreOutcome.NotRun("zone under evacuation", wasOffered = true)
+            denial(target, permit, mayRun)?.let { return it }
             connection.send(
                 protocol.scoreRequest(
                     scorer,
@@ -94,6 +92,19 @@
         }
     }
 
+    /** Reason why a call must not be sent to [target] any more; null if it may be. */
+    private fun denial(
+        target: TargetEntry,
+        permit: Permit,
+        mayRun: () -> Boolean,
+    ): ScoreOutcome? =
+        when {
+            !permit.isValid() -> ScoreOutcome.NotRun("permit expired", wasOffered = false)
+            !mayRun() -> ScoreOutcome.NotRun("the batch may have ended", wasOffered = true)
+            isEvacuated(target) -> ScoreOutcome.NotRun("zone under evacuation", wasOffered = true)
+            else -> null
+        }
+
     private suspend fun read(
         scorer: ScorerSpec,
         target: TargetEntry,
