--- a/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
+++ b/guavashore-net/src/main/kotlin/io/guavashore/net/HttpConnection.kt
@@ -323,7 +323,6 @@
         if (pendingBytes <= MAX_PENDING_BYTES && !channel.config().isAutoRead) channel.config().isAutoRead = true
     }
 
-
     private companion object {
         const val NANOS_PER_MS = 1_000_000L
         const val MS_PER_S = 1_000L
