HeldUpRequestsTest waits for what the link has done, and shows that the link delivers

Change: the tests wait until the end of the connection has passed the link and until all retransmissions are done; a control test ends a connection in order and expects its bytes. Nothing else is expected than before.

--- a/guavashore-net/src/test/kotlin/io/guavashore/net/HeldUpRequestsTest.kt
+++ b/guavashore-net/src/test/kotlin/io/guavashore/net/HeldUpRequestsTest.kt
@@ -8,6 +8,7 @@
 import java.io.File
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
@@ -61,15 +62,39 @@
         awaitHeldUpBytes()
         end(sender)
         assertTrue(sender.waitFor(END_S, TimeUnit.SECONDS), "the sender has not ended")
-        Thread.sleep(SETTLE_MS)
+        healAndSettle()
+    }
+
+    /** Ends the partition once the end of the connection has passed it, and waits for the retransmissions. */
+    private fun healAndSettle() {
+        await("the end of the connection") { link.openConnections == 0 }
         link.heal()
-        Thread.sleep(RETRANSMISSION_MS)
+        await("the retransmissions") { link.isSettled }
+        Thread.sleep(RECORDING_MS)
     }
 
-    private fun awaitHeldUpBytes() {
+    private fun awaitHeldUpBytes() = await("held-up bytes") { link.heldUpBytes > 0 }
+
+    private fun await(
+        what: String,
+        condition: () -> Boolean,
+    ) {
         val deadlineNs = System.nanoTime() + END_S * NANOS_PER_S
-        while (link.heldUpBytes == 0 && System.nanoTime() < deadlineNs) Thread.sleep(5)
-        assertTrue(link.heldUpBytes > 0, "nothing was sent")
+        while (!condition() && System.nanoTime() < deadlineNs) Thread.sleep(5)
+        assertTrue(condition(), "no sign of $what")
+    }
+
+    /** Shows that the link delivers what it holds up; the other tests expect nothing. */
+    @Test
+    fun `bytes that a partition holds up arrive if their connection was ended in order`() {
+        Socket(link.endpoint.host, link.endpoint.port).use { socket ->
+            await("the connection") { link.openConnections == 1 }
+            link.cut()
+            socket.getOutputStream().write("bytes".encodeToByteArray())
+            awaitHeldUpBytes()
+        }
+        healAndSettle()
+        assertEquals(listOf("bytes"), received)
     }
 
     /** Guards against items, orders and requests that reach a target after their sender was killed and succeeded. */
@@ -98,15 +123,12 @@
         val loop = ProcessLoop { throw it }
         onLoop(loop) {
             val connection = connectFrames(loop, link.endpoint, CONNECT_MS, { _, _ -> }, {})
-            delay(SETTLE_MS)
             link.cut()
             connection.send("frame".encodeToByteArray())
             while (link.heldUpBytes == 0) delay(5)
             connection.close()
-            delay(SETTLE_MS)
         }
-        link.heal()
-        Thread.sleep(RETRANSMISSION_MS)
+        healAndSettle()
         loop.close()
         assertEquals(emptyList<String>(), received)
     }
@@ -119,11 +141,8 @@
         private const val END_S = 20L
         private const val NANOS_PER_S = 1_000_000_000L
 
-        /** Time in which a reset or an end passes the loopback interface. */
-        private const val SETTLE_MS = 100L
-
-        /** Time after a partition in which the retransmission of what was sent in it is due. */
-        private const val RETRANSMISSION_MS = 1_500L
+        /** Time in which the server records what it has received. */
+        private const val RECORDING_MS = 200L
         private val JAVA = File(System.getProperty("java.home"), "bin/java").path
 
         /** Surefire puts the real class path in this property, and in `java.class.path` a jar that refers to it. */
