--- a/review/standins-3/src/Platform.java
+++ b/review/standins-3/src/Platform.java
@@ -51,6 +51,9 @@
     private final HttpServer server;
     final List<String> dutyCalls = new ArrayList<>();
 
+    /** While true, the store answers every call with 503 and does nothing. */
+    volatile boolean isDown;
+
     Platform() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 256);
         server.setExecutor(Executors.newCachedThreadPool(task -> {
@@ -96,6 +99,10 @@
 
     private void objects(HttpExchange call) throws IOException {
         try {
+            if (isDown) {
+                respond(call, 503, Map.of());
+                return;
+            }
             String[] path = call.getRequestURI().getPath().substring("/objects/".length()).split("/");
             Map<String, String> query = query(call);
             String body = new String(call.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
@@ -139,13 +146,14 @@
         synchronized (this) {
             List<Object> events = events(kind, since);
             while (events.isEmpty() && System.currentTimeMillis() < deadline) {
-                wait(Math.max(1, deadline - System.currentTimeMillis()));
+                wait(Math.max(1, Math.min(100, deadline - System.currentTimeMillis())));
                 events = events(kind, since);
+                if (isDown) break;
             }
             page.put("events", events);
             page.put("as_of", revision);
         }
-        respond(call, 200, page);
+        respond(call, isDown ? 503 : 200, isDown ? Map.of() : page);
     }
 
     private List<Object> events(String kind, long since) {
