--- a/review/standins-3/src/EndInOutage.java
+++ b/review/standins-3/src/EndInOutage.java
@@ -14,6 +14,7 @@
         + "\"services\":[{\"name\":\"engines\",\"health_path\":\"/health\",\"max_conns\":100,"
         + "\"engine\":{\"slots\":2,\"kv_capacity\":80000,\"models\":[{\"name\":\"m0\"}]}}],"
         + "\"tenants\":[{\"name\":\"weavers\",\"api_keys\":[\"key-1\"],\"priority\":1}]}";
+    private static final long OUTAGE_MS = 4_500;
     private static final long CONTACT_MS = 3_000;
     private static final long ACK_MS = 4_000;
     private static final long CANCEL_MS = 3_000;
@@ -61,23 +62,32 @@
         record.add("submission at edge-1: " + accepted);
         if (accepted.status != 202) return notRun(record, "the submission was not accepted");
         Thread.sleep(2_000);
+        long outageMs = Vm.nowMs();
         if (trouble) {
-            platform.isDown = true;
-            record.add("the store is down");
+            platform.isSilent = true;
+            record.add("the store is down (silent)");
         }
-        Thread.sleep(1_000);
+        Thread outage = new Thread(() -> {
+            try {
+                Thread.sleep(OUTAGE_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            platform.isSilent = false;
+        });
+        outage.start();
+        Thread.sleep(100);
         long endMs = Vm.nowMs();
         Client.Answer first = end(vms.get(0));
         record.add("end at edge-1: " + first);
         if (first.status != 200) {
-            Thread.sleep(500);
+            Thread.sleep(100);
             record.add("the trainer's one retry, at edge-2: " + end(vms.get(1)));
         }
-        Thread.sleep(Math.max(0, endMs + 3_000 - Vm.nowMs()));
-        platform.isDown = false;
-        record.add("the store serves");
-        long servesMs = Vm.nowMs();
-        Thread.sleep(30_000);
+        outage.join();
+        long servesMs = outageMs + OUTAGE_MS;
+        record.add("the store serves since " + record.at(servesMs));
+        Thread.sleep(25_000);
         // The end counts as acknowledged after ack_ms of steady state, which begins contact_ms after the outage.
         long boundMs = servesMs + CONTACT_MS + ACK_MS + CANCEL_MS;
         record.add("no item may reach a worker and run after " + record.at(boundMs));
--- a/review/standins-3/src/Platform.java
+++ b/review/standins-3/src/Platform.java
@@ -51,8 +51,8 @@
     private final HttpServer server;
     final List<String> dutyCalls = new ArrayList<>();
 
-    /** While true, the store answers every call with 503 and does nothing. */
-    volatile boolean isDown;
+    /** While true, the store does nothing; calls that it has not answered get no answer, also later. */
+    volatile boolean isSilent;
 
     Platform() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 256);
@@ -99,8 +99,8 @@
 
     private void objects(HttpExchange call) throws IOException {
         try {
-            if (isDown) {
-                respond(call, 503, Map.of());
+            if (isSilent) {
+                stayPut(call);
                 return;
             }
             String[] path = call.getRequestURI().getPath().substring("/objects/".length()).split("/");
@@ -148,12 +148,19 @@
             while (events.isEmpty() && System.currentTimeMillis() < deadline) {
                 wait(Math.max(1, Math.min(100, deadline - System.currentTimeMillis())));
                 events = events(kind, since);
-                if (isDown) break;
+                if (isSilent) break;
             }
             page.put("events", events);
             page.put("as_of", revision);
         }
-        respond(call, isDown ? 503 : 200, isDown ? Map.of() : page);
+        if (isSilent) stayPut(call);
+        else respond(call, 200, page);
+    }
+
+    /** Leaves the channel of [call] open and silent, for longer than any caller waits. */
+    private static void stayPut(HttpExchange call) throws InterruptedException {
+        Thread.sleep(30_000);
+        call.close();
     }
 
     private List<Object> events(String kind, long since) {
--- a/review/standins-3/src/StaleDirectory.java
+++ b/review/standins-3/src/StaleDirectory.java
@@ -59,21 +59,25 @@
             platform.put("servers", worker.id, worker.entry("ready"));
         }
         for (int number = 1; number <= 3; number++) vms.add(new Vm("edge-" + number, "z" + number, folder));
+        Vm restarted = vms.get(1);
+        for (Vm vm : vms) if (vm != restarted) vm.start(platform, vms);
+        for (Vm vm : vms) {
+            if (vm != restarted && !vm.awaitReady(20_000)) return notRun(record, vm.name + " was not ready in 20 s");
+        }
         long startedMs = Vm.nowMs();
-        for (Vm vm : vms) vm.start(platform, vms);
-        for (Vm vm : vms) if (!vm.awaitReady(20_000)) return notRun(record, vm.name + " was not ready in 20 s");
+        restarted.start(platform, vms);
+        if (!restarted.awaitReady(20_000)) return notRun(record, restarted.name + " was not ready in 20 s");
         long bootMs = Vm.nowMs() - startedMs;
         record.add("three VMs are ready");
         for (Vm vm : vms) {
             for (int client = 0; client < 4; client++) startClient(vm, "/prices/x", 120);
         }
         Thread.sleep(5_000);
-        Vm restarted = vms.get(1);
         if (trouble) {
             record.add("SIGKILL " + restarted.name);
             restarted.kill();
-            // Its peers dial it each second after the kill; it is to be ready about 0.3 s after one of these times.
-            Thread.sleep(100 + Math.floorMod(200 - bootMs, 1_000));
+            // Its peers dial it each second after the kill; it is to be ready about half way between two of these times.
+            Thread.sleep(100 + Math.floorMod(450 - bootMs, 1_000));
             restarted.start(platform, vms);
             if (!restarted.awaitReady(10_000)) return notRun(record, restarted.name + " was not ready in 10 s");
             record.add(restarted.name + " is ready again");
--- a/review/standins-3/src/Vm.java
+++ b/review/standins-3/src/Vm.java
@@ -84,6 +84,8 @@
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
         disruptedAtMs = nowMs();
         process = builder.start();
+        Process started = process;
+        Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
     }
 
     private static List<String> command() throws IOException {
