--- a/review/standins-3/src/Vm.java
+++ b/review/standins-3/src/Vm.java
@@ -121,6 +121,13 @@
         process.waitFor(5, TimeUnit.SECONDS);
     }
 
+    /** Stops the process by SIGTERM, as the platform does; false if it has not ended after [limitMs]. */
+    boolean stop(long limitMs) throws InterruptedException {
+        disruptedAtMs = nowMs();
+        process.destroy();
+        return process.waitFor(limitMs, TimeUnit.MILLISECONDS);
+    }
+
     /** Sends a signal such as TERM, STOP or CONT to the process. */
     void signal(String signal) throws IOException, InterruptedException {
         disruptedAtMs = nowMs();
