--- a/review/standins-3/src/Platform.java
+++ b/review/standins-3/src/Platform.java
@@ -49,7 +49,6 @@
     private final List<Event> history = new ArrayList<>();
     private long revision = 1;
     private final HttpServer server;
-    final List<String> dutyCalls = new ArrayList<>();
 
     /** While true, the store does nothing; calls that it has not answered get no answer, also later. */
     volatile boolean isSilent;
@@ -64,11 +63,7 @@
         server.createContext("/objects/", this::objects);
         for (String path : List.of("/usage-reports", "/scaling")) {
             server.createContext(path, call -> {
-                String body = new String(call.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
-                synchronized (dutyCalls) {
-                    dutyCalls.add(path + " " + call.getRequestHeaders().getFirst("Guavashore-Duty-Holder") + " "
-                        + call.getRequestHeaders().getFirst("Guavashore-Fence-Token") + " " + body);
-                }
+                call.getRequestBody().readAllBytes();
                 respond(call, 200, Map.of());
             });
         }
@@ -93,10 +88,6 @@
         delete(kind, name);
     }
 
-    synchronized List<String> names(String kind) {
-        return new ArrayList<>(kinds.getOrDefault(kind, new TreeMap<>()).keySet());
-    }
-
     private void objects(HttpExchange call) throws IOException {
         try {
             if (isSilent) {
--- a/review/standins-3/src/Vm.java
+++ b/review/standins-3/src/Vm.java
@@ -1,4 +1,3 @@
-import java.io.File;
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetAddress;
@@ -127,27 +126,4 @@
         process.destroy();
         return process.waitFor(limitMs, TimeUnit.MILLISECONDS);
     }
-
-    /** Sends a signal such as TERM, STOP or CONT to the process. */
-    void signal(String signal) throws IOException, InterruptedException {
-        disruptedAtMs = nowMs();
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-    }
-
-    boolean isRunning() {
-        return process != null && process.isAlive();
-    }
-
-    long pid() {
-        return process.pid();
-    }
-
-    /** Lines of the process's log that contain [text]. */
-    List<String> logLines(String text) throws IOException {
-        File log = folder.resolve(name + ".log").toFile();
-        List<String> found = new ArrayList<>();
-        if (!log.exists()) return found;
-        for (String line : Files.readAllLines(log.toPath())) if (line.contains(text)) found.add(line);
-        return found;
-    }
 }
